--- /dev/null
+++ b/internal/link/link.go
@@ -0,0 +1,395 @@
+// Package link hosts many instances of the decision module on the bench's wire: it decodes
+// events into calls of the module, maps ids to small indices and encodes what the module does.
+package link
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"thymechute/internal/wire"
+	"thymechute/policy"
+)
+
+// Serve answers batches until the input ends.
+func Serve(in io.Reader, out io.Writer) error {
+	s := &server{lines: wire.NewReader(in), out: bufio.NewWriterSize(out, 1<<20), hosts: map[uint64]*host{}}
+	for {
+		m, err := s.lines.Next()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if m.Name != "BEGIN_BATCH" {
+			return m.Bad("name", "BEGIN_BATCH outside of a batch")
+		}
+		moment, err := m.Seconds("moment_s", true)
+		if err != nil {
+			return err
+		}
+		if err := s.batch(moment); err != nil {
+			return err
+		}
+	}
+}
+
+type server struct {
+	lines   *wire.Reader
+	out     *bufio.Writer
+	hosts   map[uint64]*host
+	touched []*host // hosts with an event in this batch, in order
+}
+
+func (s *server) batch(moment time.Duration) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = s.fault(fmt.Sprint(p))
+		}
+	}()
+	s.touched = s.touched[:0]
+	var h *host
+	for {
+		m, err := s.lines.Next()
+		if err == io.EOF {
+			return &wire.Error{Field: "end of input", Want: "EOF_BATCH first: the batch is cut off"}
+		}
+		if err != nil {
+			return err
+		}
+		switch m.Name {
+		case "EOF_BATCH":
+			return s.reply(moment)
+		case "BEGIN_BATCH":
+			return m.Bad("name", "EOF_BATCH before the next batch")
+		case "FOR":
+			id, err := m.Int("instance", true)
+			if err != nil {
+				return err
+			}
+			if h = s.hosts[id]; h == nil {
+				h = &host{id: id}
+				s.hosts[id] = h
+			}
+			if !h.touched {
+				h.touched = true
+				s.touched = append(s.touched, h)
+			}
+		default:
+			if h == nil {
+				return m.Bad("name", "FOR before the first event of a batch")
+			}
+			h.now = moment
+			if err := h.event(m); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (s *server) reply(moment time.Duration) error {
+	for _, h := range s.touched {
+		h.touched = false
+		if h.mod == nil {
+			delete(s.hosts, h.id)
+			continue
+		}
+		h.now = moment
+		h.mod.Settle(moment - h.start)
+		if len(h.out) > 0 {
+			s.out.Write(wire.Line(nil, "ON_BEHALF", "instance", h.id))
+			s.out.Write(h.out)
+			h.out = h.out[:0]
+		}
+	}
+	s.out.WriteString("FINISHED\n")
+	return s.out.Flush()
+}
+
+// fault tells the bench that the module has panicked, and ends the work.
+func (s *server) fault(cause string) error {
+	for _, h := range s.touched {
+		s.out.Write(wire.Line(nil, "ON_BEHALF", "instance", h.id))
+		break
+	}
+	s.out.Write(wire.Line(nil, "INTERNAL_ERROR", "text", cause))
+	s.out.WriteString("FINISHED\n")
+	return errors.Join(errors.New("decision module: "+cause), s.out.Flush())
+}
+
+// host is one instance: its ids, and the lines it writes in this batch.
+type host struct {
+	id         uint64
+	mod        *policy.Instance
+	start, now time.Duration
+	touched    bool
+	out        []byte
+	index      map[uint64]int // ticket to index; emptied by Release
+	ticket     []uint64       // index to ticket
+	spare      []int          // indices free for use
+	gauges     []string
+}
+
+func (h *host) event(m wire.Message) error {
+	switch m.Name {
+	case "KILL":
+		h.mod, h.out, h.index, h.ticket, h.spare = nil, h.out[:0], nil, nil, nil
+		return nil
+	case "CONFIGURE":
+		return h.configure(m)
+	}
+	if h.mod == nil {
+		return nil // nothing is owed to an instance that is not there
+	}
+	now := h.now - h.start
+	switch m.Name {
+	case "REQ":
+		return h.read(m, now)
+	case "ALARM":
+		row, err := m.Row("server_stats")
+		if err != nil {
+			return err
+		}
+		g := policy.Gauges{Busy: -1, Runnable: -1, Memory: -1, Sockets: -1}
+		for i, name := range h.gauges {
+			if i >= len(row) {
+				break
+			}
+			switch name {
+			case "cpu_busy":
+				g.Busy = row[i]
+			case "runnable":
+				g.Runnable = row[i]
+			case "mem_used":
+				g.Memory = row[i]
+			case "sockets":
+				g.Sockets = row[i]
+			}
+		}
+		h.mod.Tick(now, g)
+	case "LAME_DUCK":
+		left, err := m.Seconds("budget_s", false)
+		if err != nil {
+			return err
+		}
+		h.mod.Leave(now, left)
+	case "WOUND_UP", "AWAITING", "RETURNED", "LAPSED":
+		id, err := m.Int("ticket", true)
+		if err != nil {
+			return err
+		}
+		took, err := m.Seconds("elapsed_s", false)
+		if err != nil {
+			return err
+		}
+		w, known := h.index[id]
+		if !known {
+			return nil
+		}
+		word, _ := m.Field("disposition")
+		switch m.Name {
+		case "WOUND_UP":
+			h.mod.Ended(now, w, outcomes[word], took)
+		case "AWAITING":
+			h.mod.AtCall(now, w)
+		case "RETURNED":
+			h.mod.Returned(now, w, outcomes[word], took)
+		case "LAPSED":
+			h.mod.CallerGone(now, w)
+		}
+	}
+	return nil
+}
+
+var outcomes = map[string]policy.Outcome{
+	"ok": policy.OK, "error": policy.Failed, "full": policy.Full, "timeout": policy.TimedOut,
+	"connect_failed": policy.ConnectFailed, "reset": policy.Reset,
+	"cancelled": policy.Cancelled, "moot": policy.Moot,
+}
+
+func (h *host) read(m wire.Message, now time.Duration) error {
+	var errs [9]error
+	id, err := m.Int("ticket", true)
+	if err != nil {
+		return err
+	}
+	var w policy.Work
+	var n [4]uint64
+	n[0], errs[0] = m.Int("cls", false)
+	n[1], errs[1] = m.Int("org", false)
+	n[2], errs[2] = m.Int("src", false)
+	n[3], errs[3] = m.Int("dup_of", false)
+	w.Waited, errs[4] = m.Seconds("waited_s", false)
+	w.Patience, errs[5] = m.Seconds("budget_s", false)
+	w.Hint, errs[6] = m.Seconds("cost_s", false)
+	w.Rank, errs[7] = m.Number("prio")
+	w.KB, errs[8] = m.Number("size_kb")
+	if err := errors.Join(errs[:]...); err != nil {
+		return err
+	}
+	if w.Repeat, err = m.Bool("repeat"); err != nil {
+		return err
+	}
+	_, w.Subject = m.Field("object")
+	w.Band, w.Customer, w.From = int(n[0]), int(n[1]), int(n[2])
+	w.Forerunner = policy.NoForerunner
+	if n[3] != 0 {
+		w.Forerunner = policy.GoneForerunner
+		if first, ok := h.index[n[3]]; ok {
+			w.Forerunner = first
+		}
+	}
+	if _, twice := h.index[id]; twice {
+		return nil
+	}
+	var at int
+	if k := len(h.spare); k > 0 {
+		at, h.spare = h.spare[k-1], h.spare[:k-1]
+		h.ticket[at] = id
+	} else {
+		at = len(h.ticket)
+		h.ticket = append(h.ticket, id)
+	}
+	h.index[id] = at
+	h.mod.Arrived(now, at, w)
+	return nil
+}
+
+func (h *host) configure(m wire.Message) error {
+	seed, err := m.Int("init_seed", false)
+	if err != nil {
+		return err
+	}
+	text, _ := m.Text("info")
+	info := map[string]any{}
+	if err := json.Unmarshal([]byte(text), &info); err != nil {
+		return m.Bad("info", "a JSON object: "+err.Error())
+	}
+	told := map[string]any{}
+	flatten("", info, told)
+	h.gauges = nil
+	for i := 0; ; i++ {
+		name, ok := told["domain.gauges."+strconv.Itoa(i)].(string)
+		if !ok {
+			break
+		}
+		h.gauges = append(h.gauges, name)
+	}
+	renamed := map[string]any{}
+	for from, to := range names {
+		if v, ok := told[from]; ok {
+			renamed[to] = v
+		}
+	}
+	list(told, renamed, "classes.", "band.", bandNames)
+	list(told, renamed, "tenants.", "customer.", customerNames)
+	for i := 0; ; i++ {
+		n := strconv.Itoa(i)
+		calls, ok1 := told["domain.calls_by_class."+n]
+		poorer, ok2 := told["domain.degraded_worth."+n]
+		if !ok1 && !ok2 {
+			break
+		}
+		renamed["band."+n+".calls"], renamed["band."+n+".poorer"] = calls, poorer
+	}
+	h.start, h.out, h.index, h.ticket, h.spare = h.now, h.out[:0], map[uint64]int{}, nil, nil
+	h.mod = policy.New(h, seed, renamed)
+	return nil
+}
+
+// flatten writes a JSON value's leaves under dotted names; numbers stay float64.
+func flatten(at string, v any, into map[string]any) {
+	switch v := v.(type) {
+	case map[string]any:
+		for k, x := range v {
+			flatten(at+"."+k, x, into)
+		}
+	case []any:
+		for i, x := range v {
+			flatten(at+"."+strconv.Itoa(i), x, into)
+		}
+	case nil:
+	default:
+		into[at[1:]] = v
+	}
+}
+
+// list renames the entries of one list, and counts them.
+func list(told, into map[string]any, from, to string, words map[string]string) {
+	for i := 0; ; i++ {
+		n, found := strconv.Itoa(i), false
+		for word, ours := range words {
+			if v, ok := told[from+n+"."+word]; ok {
+				found = true
+				if kind, ok := kinds[v]; ok && ours == "kind" {
+					v = kind
+				}
+				into[to+n+"."+ours] = v
+			}
+		}
+		if !found {
+			into[to+"count"] = float64(i)
+			return
+		}
+	}
+}
+
+// The wire's names for settings and ours.
+var names = map[string]string{
+	"domain.cores": "cores", "domain.ram_kb": "memory_kb", "domain.blowup": "run_memory",
+	"domain.entry_kb": "receipt_kb", "domain.fresh_s": "fresh_s", "domain.halt": "stop_mode",
+	"domain.say": "free_value", "domain.cold": "cold", "domain.depends_on": "below",
+	"domain.dep_share": "calls_share", "domain.dep_window_s": "calls_window_s",
+	"domain.linger_s": "calls_linger_s", "domain.caller_idle_s": "idle_s",
+	"domain.clients_total": "callers", "domain.cancel_seen": "tells_gone",
+	"domain.passes_deadline": "tells_patience", "callers.marks_retry": "marks_repeats",
+	"fleet_size": "fleet", "over_share_worth": "over_share_payoff", "worth_by": "payoff_by",
+	"policy_limits.max_retry_after_s": "come_back_s", "policy_limits.retry_after": "come_back",
+	"rules.answer_slack_s": "slack_s", "rules.cold_from": "cold_from", "rules.warm_after_s": "warm_s",
+	"rules.drain_grace_s": "grace_s", "rules.fall_multiple": "crowd", "rules.overload_for_s": "crowd_s",
+	"tick_s": "tick_s", "charges.handshake": "handshake_price",
+}
+
+var bandNames = map[string]string{
+	"aim_s": "due_s", "deadline_s": "patience_s", "late_value": "late_payoff", "repeat": "kind",
+	"window_s": "window_s", "worth": "payoff", "aim_stretch": "due_stretch",
+}
+
+var kinds = map[any]string{"repeatable": "pure", "by_key": "receipted", "once": "effectful"}
+
+var customerNames = map[string]string{"quota_per_s": "share_per_s", "fraction": "fraction"}
+
+func (h *host) say(name string, pairs ...any) { h.out = wire.Line(h.out, name, pairs...) }
+
+func (h *host) Start(w int)    { h.say("RUN", "ticket", h.ticket[w]) }
+func (h *host) Stop(w int)     { h.say("TAKE_OFF", "ticket", h.ticket[w]) }
+func (h *host) Scrap(w int)    { h.say("ERROR", "ticket", h.ticket[w]) }
+func (h *host) LeaveOut(w int) { h.say("OMIT", "ticket", h.ticket[w]) }
+func (h *host) Forget(w int)   { h.say("RELEASE_KEY", "ticket", h.ticket[w]) }
+func (h *host) Join(w int)     { h.say("ATTACH", "ticket", h.ticket[w]) }
+func (h *host) TurnBack(w int, comeBack time.Duration, no bool) {
+	h.say("NOT_NOW", "ticket", h.ticket[w], "pause_s", comeBack, "final", no)
+}
+func (h *host) Call(w int, patience time.Duration) {
+	h.say("CALL_DEP", "ticket", h.ticket[w], "patience_s", patience)
+}
+func (h *host) Record(w int, life time.Duration) {
+	h.say("RECORD_KEY", "ticket", h.ticket[w], "for_time_s", life)
+}
+func (h *host) Health(good, stored bool)      { h.say("FITNESS", "stored", stored, "on", good) }
+func (h *host) Free(value float64)            { h.say("SIGNAL", "value", value) }
+func (h *host) CloseIdle(after time.Duration) { h.say("IDLE", "for_time_s", after) }
+func (h *host) Wake(at time.Duration) {
+	h.say("NOTIFY_ME", "alarm_time_s", h.start+at, "ref", uint64(1))
+}
+func (h *host) Log(format string, args ...any) { h.say("DEBUG", "text", fmt.Sprintf(format, args...)) }
+
+func (h *host) Release(w int) {
+	delete(h.index, h.ticket[w])
+	h.spare = append(h.spare, w)
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,731 @@
+// Package policy decides, inside one server, which work items run, wait or are turned back.
+//
+// The adapter makes one Instance with New and calls one method for each thing that happens
+// (Arrived, Ended, AtCall, Returned, CallerGone, Leave, Tick), then Settle once all that came in
+// together has been told. The instance acts by calling the Host it was given: host.go. Times are
+// spans since its start. docs/design.md says which part is the paper's and where it is departed from.
+package policy
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	ms        = time.Millisecond
+	sweepGap  = 20 * ms  // between two Ticks
+	period    = 500 * ms // between two samples of lag
+	threshold = 1.0      // lag over which a sample is a crossing
+	dampening = 2        // crossings in a row before the flag goes up
+	shedGain  = 0.3      // part of the share turned back that the free value takes over a period
+	margin    = 40 * ms  // answers leave so long before they are due
+	finish    = 0.6      // share of its expected run that must fit before the due time
+	fillHold  = 0.70     // share of memory up to which work is held,
+	fillRun   = 0.90     // and up to which it is started
+	crowdPart = 0.75     // share of the survived crowd that is used
+	stall     = 100 * ms // a Tick so late tells of a standstill
+	failures  = 5        // calls failed in a row before they stop
+	trialGap  = 500 * ms // between single trials
+)
+
+type state uint8
+
+const (
+	absent  state = iota
+	held          // waits for a start
+	running       // on the cores, or at its disk
+	atCall        // stands at a call that is not out
+	calling       // its call is out
+	joined        // waits for its forerunner's result
+)
+
+type item struct {
+	Work
+	state                 state
+	arrived, due, use     time.Duration // use: an answer after this is late
+	began, wait, since    time.Duration // since: at a call since
+	callTime, receiptEnds time.Duration
+	answered, ran, beyond bool
+}
+
+type band struct {
+	kind                                string
+	payoff, late, poorer                float64
+	due, patience, window               time.Duration
+	calls                               bool
+	base, latency, span, perHint, ended float64 // seconds: least seen, recent run less calls, recent run
+}
+
+type customer struct{ rate, tokens float64 }
+
+// Instance is the decisions of one server.
+type Instance struct {
+	host      Host
+	told      map[string]any
+	bands     []band
+	customers []customer
+	items     []item // by index; as long as the most live at one time
+	held      []int  // emptied by a start, a turn-back or the caller's leaving
+	standing  []int  // at a call not out; emptied by the call, its omission or an answer
+	receipts  []time.Duration
+	lingering []time.Duration // ends of calls given up; emptied by time
+	chance    uint64
+
+	cores, onCores, calls     int
+	width, callWidth          float64 // how many run, how many calls are out
+	memory, ram               float64
+	sum, count                [2]float64 // latency ratios of ended starts: this period's, the last's
+	read, turned, done        int        // in this period, as is the number of Ticks
+	waited                    int        // that found work waiting for a start
+	lag, shed                 float64
+	crossings                 int
+	flag, leaving             bool
+	fails                     int
+	nextTrial, nextCall       time.Duration
+	nextSample, wanted, grace time.Duration
+	stopAt                    time.Duration
+}
+
+// New makes the instance of a server that has just started.
+func New(h Host, seed uint64, told map[string]any) *Instance {
+	i := &Instance{host: h, told: told, chance: seed&0xffffffff | 1<<32}
+	i.cores = int(min(max(i.num("cores", 1), 1), 4096))
+	i.width = float64(i.cores)
+	i.ram = max(i.num("memory_kb", 1e6), 1)
+	i.callWidth = i.callCeiling()
+	for n := range int(min(i.num("band.count", 1), 1000)) {
+		at := fmt.Sprintf("band.%d.", n)
+		b := band{kind: i.word(at+"kind", "effectful"), payoff: i.num(at+"payoff", 1),
+			late: i.num(at+"late_payoff", 0), poorer: i.num(at+"poorer", 0),
+			due: i.span(at+"due_s", 1), patience: i.span(at+"patience_s", 2),
+			window: i.span(at+"window_s", 10), calls: i.flagged(at + "calls")}
+		b.latency = b.due.Seconds() / 4
+		b.span = b.latency
+		i.bands = append(i.bands, b)
+	}
+	for n := range int(min(i.num("customer.count", 0), 10000)) {
+		rate := i.num(fmt.Sprintf("customer.%d.share_per_s", n), 0) / max(i.num("fleet", 1), 1)
+		i.customers = append(i.customers, customer{rate, 2 * rate})
+	}
+	i.nextSample, i.wanted = period, sweepGap
+	h.Health(true, true)
+	h.Wake(i.wanted)
+	return i
+}
+
+func (i *Instance) num(name string, otherwise float64) float64 {
+	if x, ok := i.told[name].(float64); ok && x >= 0 && !math.IsInf(x, 0) {
+		return x
+	}
+	return otherwise
+}
+
+func (i *Instance) span(name string, otherwise float64) time.Duration {
+	return time.Duration(min(i.num(name, otherwise), 1e9) * 1e9)
+}
+
+func (i *Instance) word(name, otherwise string) string {
+	if x, ok := i.told[name].(string); ok {
+		return x
+	}
+	return otherwise
+}
+
+func (i *Instance) flagged(name string) bool { return i.told[name] == true }
+
+// random is a multiply-with-carry generator: 0 to under 1.
+func (i *Instance) random() float64 {
+	i.chance = (i.chance&0xffffffff)*4294957665 + i.chance>>32
+	return float64(i.chance&0xffffffff) / (1 << 32)
+}
+
+// Arrived takes a work item that has been read. Everything that can be decided is decided here.
+func (i *Instance) Arrived(now time.Duration, w int, work Work) {
+	for len(i.items) <= w {
+		i.items = append(i.items, item{})
+	}
+	it := &i.items[w]
+	*it = item{Work: work, state: held, arrived: now - work.Waited}
+	i.memory += work.KB
+	i.read++
+	if work.Band < 0 || work.Band >= len(i.bands) {
+		i.turnBack(now, w, true)
+		return
+	}
+	b := &i.bands[work.Band]
+	it.due = max(it.arrived+b.patience, now)
+	if work.Patience > 0 {
+		it.due = now + work.Patience
+	}
+	it.use = min(it.arrived+b.due-margin, it.due)
+	if i.leaving {
+		it.due, it.use = min(it.due, i.stopAt), min(it.use, i.stopAt)
+	}
+	it.beyond = i.overShare(work)
+	switch first := work.Forerunner; {
+	case first == NoForerunner:
+	case first >= 0 && first < len(i.items) && i.items[first].state == held && !i.items[first].ran:
+		// A caller that asks again has given up on the try still held: the newer takes its place.
+		it.use = min(it.due, i.items[first].use)
+		it.receiptEnds = i.items[first].receiptEnds
+		i.items[first].receiptEnds = 0
+		i.record(now, it, w)
+		i.turnBack(now, first, false)
+	default:
+		it.state = joined
+		i.host.Join(w)
+		return
+	}
+	late := i.leaving && it.arrived > i.grace
+	switch {
+	case late || now >= it.due-margin || !i.fits(work.KB+i.receiptKB(it), fillHold):
+		i.turnBack(now, w, !late)
+		return
+	case i.flag && i.waiting() > 0:
+		// The cached flag refuses at entry. Departure: the flag is blind to payoff, so the least
+		// of the held goes in place of a newcomer that is worth more.
+		i.held = append(i.held, w)
+		least := w
+		for _, x := range i.held {
+			if i.density(now, x) < i.density(now, least) {
+				least = x
+			}
+		}
+		i.held = i.held[:len(i.held)-1]
+		if i.density(now, least) >= i.density(now, w) {
+			least = w
+		}
+		i.turnBack(now, least, i.nowhere(least))
+		if least == w {
+			return
+		}
+	}
+	i.held = append(i.held, w)
+	if it.receiptEnds == 0 {
+		i.record(now, it, w)
+	}
+}
+
+// record enters a receipt before the run, so that a repeat of a held one is known too.
+func (i *Instance) record(now time.Duration, it *item, w int) {
+	if i.receiptKB(it) == 0 {
+		return
+	}
+	b := &i.bands[it.Band]
+	life := i.span("fresh_s", 0)
+	if b.kind == "receipted" {
+		life = it.arrived + b.window + 2*margin - now
+	}
+	if life <= 0 {
+		return
+	}
+	i.dropReceipt(it)
+	it.receiptEnds = now + life
+	i.receipts = append(i.receipts, it.receiptEnds)
+	i.memory += i.num("receipt_kb", 0)
+	i.host.Record(w, life)
+}
+
+func (i *Instance) receiptKB(it *item) float64 {
+	if b := &i.bands[it.Band]; b.kind == "receipted" || b.kind == "pure" && it.Subject && i.num("fresh_s", 0) > 0 {
+		return max(i.num("receipt_kb", 0), 0.001)
+	}
+	return 0
+}
+
+func (i *Instance) dropReceipt(it *item) {
+	if it.receiptEnds != 0 && slices.Contains(i.receipts, it.receiptEnds) {
+		i.receipts = without(i.receipts, it.receiptEnds)
+		i.memory -= i.num("receipt_kb", 0)
+	}
+	it.receiptEnds = 0
+}
+
+func (i *Instance) overShare(work Work) bool {
+	if work.Customer < 0 || work.Customer >= len(i.customers) || i.customers[work.Customer].rate <= 0 {
+		return false
+	}
+	c := &i.customers[work.Customer]
+	if c.tokens < 1 {
+		return true
+	}
+	c.tokens--
+	return false
+}
+
+func (i *Instance) fits(kb, part float64) bool { return i.memory+kb <= part*i.ram }
+
+// room is how many more may start now. The survived crowd is the ceiling, with those at calls
+// counted since they all may come back at once.
+func (i *Instance) room(now time.Duration) int {
+	atCalls := i.calls + len(i.standing)
+	return min(int(i.width)-i.onCores, i.ceiling(now)-i.onCores-atCalls)
+}
+
+func (i *Instance) ceiling(now time.Duration) int {
+	warm := 1.0
+	if span := i.span("warm_s", 0); i.flagged("cold") && now < span {
+		from := min(i.num("cold_from", 0.2), 1)
+		warm = from + (1-from)*now.Seconds()/span.Seconds()
+	}
+	most := (1 + max(i.num("crowd", 2)-1, 0)*warm) * float64(i.cores) * crowdPart
+	return max(int(most), 1)
+}
+
+func (i *Instance) waiting() int { return len(i.held) - max(int(i.width)-i.onCores, 0) }
+
+// expected is the run that a work item likely needs, calls included.
+func (i *Instance) expected(it *item) (run, whole float64) {
+	b := &i.bands[it.Band]
+	run = b.latency
+	if it.Hint > 0 && b.perHint > 0 {
+		run = it.Hint.Seconds() * b.perHint
+	}
+	return run, run + max(b.span-b.latency, 0)
+}
+
+// density is payoff over expected work; 0 for what can't be of use any more.
+func (i *Instance) density(now time.Duration, w int) float64 {
+	it := &i.items[w]
+	b := &i.bands[it.Band]
+	run, whole := i.expected(it)
+	payoff := b.payoff
+	if it.beyond {
+		payoff *= i.num("over_share_payoff", 1)
+	}
+	if it.state == held {
+		ends := now + time.Duration(finish*whole*1e9)
+		if ends > it.use {
+			payoff *= b.late
+		}
+		if ends > it.due-margin {
+			payoff = 0
+		}
+	}
+	if i.word("payoff_by", "request") == "work" {
+		return payoff
+	}
+	return payoff / max(run, 1e-4)
+}
+
+// nowhere tells whether another server would not help either: the time is too short for any, it
+// has been elsewhere already, or this server is not slow in itself, so the load is everywhere.
+func (i *Instance) nowhere(w int) bool {
+	b := &i.bands[i.items[w].Band]
+	return i.items[w].Repeat || b.base == 0 || b.latency < 2*b.base
+}
+
+// turnBack ends a work item that has not run, at once, with advice on when to come back.
+func (i *Instance) turnBack(now time.Duration, w int, no bool) {
+	it := &i.items[w]
+	pause := time.Duration(0)
+	if v, given := i.told["come_back"].(bool); !given || v {
+		clear := i.nextSample - now + time.Duration(float64(max(i.waiting(), 0))/i.width*i.bands[0].latency*1e9)
+		if i.leaving {
+			clear = time.Hour
+		}
+		pause = min(time.Duration(float64(clear)*(0.75+0.5*i.random())), i.span("come_back_s", 0))
+	}
+	i.turned++
+	i.host.TurnBack(w, max(pause, 0), no)
+	i.forgetUnrun(it, w)
+	i.drop(w)
+}
+
+func (i *Instance) forgetUnrun(it *item, w int) {
+	if it.receiptEnds != 0 && !it.ran {
+		i.host.Forget(w)
+		i.dropReceipt(it)
+	}
+}
+
+// drop takes a work item out of all tables.
+func (i *Instance) drop(w int) {
+	it := &i.items[w]
+	i.held, i.standing = without(i.held, w), without(i.standing, w)
+	i.memory -= i.kb(it)
+	it.state = absent
+	i.host.Release(w)
+}
+
+func (i *Instance) kb(it *item) float64 {
+	if it.state == held || it.state == joined {
+		return it.KB
+	}
+	return it.KB * max(i.num("run_memory", 1), 1)
+}
+
+func without[T comparable](list []T, x T) []T {
+	if n := slices.Index(list, x); n >= 0 {
+		return slices.Delete(list, n, n+1)
+	}
+	return list
+}
+
+// Settle starts work and issues calls, once all that came in together has been told.
+func (i *Instance) Settle(now time.Duration) {
+	i.serveCalls(now)
+	for i.room(now) > 0 && len(i.held) > 0 {
+		best, most := -1, 0.0
+		for n := len(i.held) - 1; n >= 0; n-- {
+			w := i.held[n]
+			d := i.density(now, w)
+			if d <= 0 {
+				i.turnBack(now, w, true)
+				continue
+			}
+			it := &i.items[w]
+			if i.blocked(it) || !i.fits(it.KB*(max(i.num("run_memory", 1), 1)-1), fillRun) {
+				continue
+			}
+			if d > most || d == most && it.use <= i.items[best].use {
+				best, most = w, d
+			}
+		}
+		if best < 0 {
+			return
+		}
+		it := &i.items[best]
+		i.held = without(i.held, best)
+		i.memory -= i.kb(it)
+		it.state, it.ran, it.began, it.wait = running, true, now, now-it.arrived
+		i.memory += i.kb(it)
+		i.onCores++
+		i.host.Start(best)
+	}
+}
+
+// blocked: calls have stopped and the band can't do without them; one may stand there for a trial.
+func (i *Instance) blocked(it *item) bool {
+	b := &i.bands[it.Band]
+	return i.fails >= failures && b.calls && b.poorer == 0 && i.calls+len(i.standing) > 0
+}
+
+// Ended is the end of a run or of a join.
+func (i *Instance) Ended(now time.Duration, w int, o Outcome, took time.Duration) {
+	it := &i.items[w]
+	switch it.state {
+	case absent, held:
+		return
+	case running:
+		i.onCores--
+	case calling:
+		i.callOver(now, it, true)
+	}
+	if !it.answered && it.state != joined {
+		i.sample(now, it)
+		if o == OK {
+			i.done++
+			b := &i.bands[it.Band]
+			run := max((took - it.callTime).Seconds(), 1e-4)
+			learn(&b.latency, run, b.ended)
+			learn(&b.span, took.Seconds(), b.ended)
+			if it.Hint > 0 {
+				learn(&b.perHint, run/it.Hint.Seconds(), b.ended)
+			}
+			if b.ended++; b.ended >= 8 && (b.base == 0 || b.latency < b.base) {
+				b.base = b.latency
+			}
+		}
+		if o == Cancelled {
+			i.host.Scrap(w)
+		}
+	}
+	i.drop(w)
+}
+
+func learn(mean *float64, x, seen float64) { *mean += (x - *mean) / min(seen+1, 16) }
+
+// sample counts a start's latency toward the period in which it began.
+func (i *Instance) sample(now time.Duration, it *item) {
+	age := int((i.nextSample - it.began - 1) / period)
+	if r := i.ratio(now, it); age < 2 && r > 0 {
+		i.sum[age] += r
+		i.count[age]++
+	}
+}
+
+func (i *Instance) ratio(now time.Duration, it *item) float64 {
+	b := &i.bands[it.Band]
+	if b.base == 0 {
+		return 0
+	}
+	run := now - it.began - it.callTime
+	if it.state == atCall || it.state == calling {
+		run -= now - it.since
+	}
+	return (it.wait.Seconds() + max(run.Seconds(), b.base)) / b.base
+}
+
+// AtCall: a run stands at a call.
+func (i *Instance) AtCall(now time.Duration, w int) {
+	it := &i.items[w]
+	if it.state != running {
+		return
+	}
+	i.onCores--
+	i.stand(now, w)
+}
+
+func (i *Instance) stand(now time.Duration, w int) {
+	i.items[w].state, i.items[w].since = atCall, now
+	i.standing = append(i.standing, w)
+}
+
+// callCeiling is how many calls may be out at once for the told share.
+func (i *Instance) callCeiling() float64 {
+	switch i.word("below", "off") {
+	case "shared":
+		return max(math.Floor(i.num("calls_share", 1)), 1)
+	case "tier":
+		return max(i.num("crowd", 2)*float64(i.cores)*crowdPart, 1)
+	}
+	return 1e6
+}
+
+func (i *Instance) serveCalls(now time.Duration) {
+	for len(i.standing) > 0 {
+		w, most := -1, -1.0
+		for _, x := range i.standing {
+			if d := i.density(now, x); d > most {
+				w, most = x, d
+			}
+		}
+		it := &i.items[w]
+		b := &i.bands[it.Band]
+		stopped := i.fails >= failures && (now < i.nextTrial || i.calls > 0)
+		full := float64(i.calls+len(i.lingering)) >= i.callWidth || now < i.nextCall
+		switch {
+		case stopped && b.poorer > 0:
+			i.resume(now, w)
+			i.host.LeaveOut(w)
+			continue
+		case stopped || full:
+			return
+		}
+		i.standing = without(i.standing, w)
+		it.state = calling
+		i.calls++
+		i.host.Call(w, max(min(it.use, it.due-margin)-now, 10*ms))
+	}
+}
+
+// resume puts a work item that stood at a call back on the cores.
+func (i *Instance) resume(now time.Duration, w int) {
+	it := &i.items[w]
+	i.standing = without(i.standing, w)
+	it.callTime += now - it.since
+	it.state = running
+	i.onCores++
+}
+
+// callOver books a call that is out no longer; a call given up stays below for a while.
+func (i *Instance) callOver(now time.Duration, it *item, given bool) {
+	i.calls--
+	linger := time.Duration(0)
+	if given {
+		linger = i.span("calls_linger_s", 0)
+		i.lingering = append(i.lingering, now+linger)
+	}
+	if share := i.num("calls_share", 1); i.word("below", "off") == "shared" && share < 1 {
+		// Under one: a single call is out only that share of the time.
+		i.nextCall = now + time.Duration(float64(now-it.since+linger)*(1/max(share, 1e-3)-1)) + linger
+	}
+}
+
+// Returned is the end of a call.
+func (i *Instance) Returned(now time.Duration, w int, o Outcome, took time.Duration) {
+	it := &i.items[w]
+	if it.state != calling {
+		return
+	}
+	i.callOver(now, it, o == TimedOut || o == Reset || o == Unclear)
+	b := &i.bands[it.Band]
+	if o == OK {
+		if i.fails >= failures {
+			i.host.Log("calls back after a trial of %v", took)
+		}
+		i.fails = 0
+		i.resume(now, w)
+		return
+	}
+	if i.fails++; i.fails >= failures {
+		if i.fails == failures {
+			i.host.Log("calls stopped: %d failed in a row", i.fails)
+		}
+		i.nextTrial = now + trialGap
+	}
+	it.callTime += now - it.since
+	i.stand(now, w)
+	switch {
+	case it.answered:
+	case b.poorer > 0:
+		i.resume(now, w)
+		i.host.LeaveOut(w)
+	case b.kind != "pure" && !o.NeverRan() || now >= it.use:
+		i.scrap(now, w)
+	}
+}
+
+// scrap answers a work item that has run; what is on the cores goes on unless it can be stopped.
+func (i *Instance) scrap(now time.Duration, w int) {
+	it := &i.items[w]
+	i.sample(now, it)
+	it.answered = true
+	i.host.Scrap(w)
+	i.halt(it, w)
+}
+
+func (i *Instance) halt(it *item, w int) {
+	i.standing = without(i.standing, w)
+	if mode := i.word("stop_mode", "off"); it.state == running && mode == "abort" {
+		i.host.Stop(w)
+	}
+}
+
+// CallerGone: nobody waits for this work item any more, so no answer is owed.
+func (i *Instance) CallerGone(now time.Duration, w int) {
+	it := &i.items[w]
+	switch it.state {
+	case held, joined:
+		i.forgetUnrun(it, w)
+		i.drop(w)
+	case running, atCall, calling:
+		it.answered = true
+		if i.bands[it.Band].kind == "pure" || it.state == atCall {
+			i.halt(it, w)
+		}
+	}
+}
+
+// Leave: this server stops after left; all that it has read must be answered before.
+func (i *Instance) Leave(now, left time.Duration) {
+	i.leaving, i.stopAt = true, now+left-3*sweepGap-margin
+	i.grace = now + i.span("grace_s", 0) - margin
+	for w := range i.items {
+		it := &i.items[w]
+		it.due, it.use = min(it.due, i.stopAt), min(it.use, i.stopAt)
+	}
+	i.host.Health(false, true)
+	i.host.Log("leaving: %d held, %d on cores, %v left", len(i.held), i.onCores, left)
+}
+
+// Tick comes every sweepGap: due times, and the sample of lag once a period.
+func (i *Instance) Tick(now time.Duration, g Gauges) {
+	if now-i.wanted > stall {
+		// A standstill stretches one sample: it is not held against the healthy spell after it.
+		i.sum, i.count = [2]float64{}, [2]float64{}
+		i.nextSample = now + period
+	}
+	i.wanted = now + sweepGap
+	i.host.Wake(i.wanted)
+	past := func(end time.Duration) bool { return end <= now }
+	kept := len(i.receipts)
+	i.receipts, i.lingering = slices.DeleteFunc(i.receipts, past), slices.DeleteFunc(i.lingering, past)
+	i.memory -= float64(kept-len(i.receipts)) * i.num("receipt_kb", 0)
+	for w := range i.items {
+		it := &i.items[w]
+		if it.state == absent || it.answered {
+			continue
+		}
+		late := now >= it.due-margin
+		worthless := now >= it.use && i.bands[it.Band].late == 0
+		switch {
+		case it.state == held:
+			if late || i.density(now, w) <= 0 {
+				i.turnBack(now, w, true)
+			}
+		case it.state == joined:
+			if late {
+				i.host.Scrap(w)
+				i.drop(w)
+			}
+		case late || worthless && i.word("stop_mode", "off") == "abort":
+			i.scrap(now, w)
+		}
+	}
+	if i.waiting() > 0 {
+		i.waited++
+	}
+	if now >= i.nextSample {
+		i.judge(now, g)
+		i.nextSample = now + period
+	}
+}
+
+// judge takes the sample of lag: the mean latency ratio of what started in the last two periods,
+// what still runs counting with its time so far, and at least its base.
+func (i *Instance) judge(now time.Duration, g Gauges) {
+	sum, n := i.sum[0]+i.sum[1], i.count[0]+i.count[1]
+	for w := range i.items {
+		it := &i.items[w]
+		if it.state < running || it.state == joined || it.answered || it.began < now-2*period {
+			continue
+		}
+		if r := i.ratio(now, it); r > 0 {
+			sum += r
+			n++
+		}
+	}
+	i.lag = 0
+	if n > 0 {
+		i.lag = sum/n - 1
+	}
+	i.sum, i.count = [2]float64{0, i.sum[0]}, [2]float64{0, i.count[0]}
+	was := i.flag
+	if i.lag > threshold {
+		i.crossings++
+	} else {
+		i.crossings = 0
+	}
+	i.flag = i.crossings >= dampening
+	if i.flag != was {
+		i.host.Log("shedding %v: lag %.2f, %d held, %d on cores, width %.0f, shed %.2f",
+			i.flag, i.lag, len(i.held), i.onCores, i.width, i.shed)
+	}
+	i.say()
+	switch busy := g.Busy; {
+	case busy >= 0 && busy < 0.9 && i.waiting() > 0 && i.done > 0:
+		i.width = min(i.width+1, float64(i.ceiling(now)))
+	case busy >= 0.97:
+		i.width = max(i.width-1, float64(i.cores))
+	}
+	for n := range i.bands {
+		b := &i.bands[n]
+		b.base += (b.latency - b.base) * 0.01 * min(b.base, 1)
+	}
+	for n := range i.customers {
+		c := &i.customers[n]
+		c.tokens = min(c.tokens+c.rate*period.Seconds(), 2*c.rate)
+	}
+	i.read, i.turned, i.done, i.waited = 0, 0, 0, 0
+}
+
+// say sets the value that rides on all answers, so that callers keep at home what would be refused.
+func (i *Instance) say() {
+	kind := i.word("free_value", "off")
+	was := i.shed
+	switch {
+	case i.flag && i.turned > 0:
+		i.shed += shedGain * (1 - i.shed) * float64(i.turned) / float64(max(i.read, i.turned))
+	case i.waited == 0:
+		i.shed -= 0.1 // nothing had to wait: callers keep too much at home
+	case i.lag <= threshold:
+		i.shed -= 0.03
+	}
+	i.shed = min(max(i.shed, 0), 0.95)
+	if i.leaving {
+		i.shed = 1
+	}
+	switch {
+	case i.shed == was:
+	case kind == "threshold":
+		i.host.Free(i.shed)
+	case kind == "share_of":
+		i.host.Free(1 - i.shed)
+	case kind == "window":
+		i.host.Free(max(2*i.width*(1-i.shed)/max(i.num("callers", 1), 1), 0.1))
+	}
+}
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,266 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+func TestFlagRefusesAtEntryOnlyWhileSomethingWaits(t *testing.T) {
+	i, b := fresh(nil)
+	busy(i, 0, 0)
+	i.flag = true
+	i.Arrived(0, 5, of(0))
+	b.wants(t, 0, "back 5")
+	i.Arrived(0, 6, of(0))
+	b.wants(t, 1, "back 6")
+}
+
+func TestFlagSparesTheNewcomerThatIsWorthMore(t *testing.T) {
+	i, b := fresh(nil)
+	busy(i, 0, 1)
+	i.flag = true
+	i.Arrived(0, 5, of(2))
+	b.wants(t, 1, "back 2")
+	b.wants(t, 0, "back 5")
+}
+
+func TestFlagNeedsSeveralCrossings(t *testing.T) {
+	i, _ := fresh(nil)
+	for n := range dampening {
+		if i.flag {
+			t.Fatalf("flag up after %d crossings", n)
+		}
+		i.sum[0], i.count[0] = 40, 10
+		i.judge(time.Duration(n+1)*period, Gauges{Busy: -1})
+		i.sum, i.count = [2]float64{}, [2]float64{}
+	}
+	if !i.flag {
+		t.Error("flag still down")
+	}
+}
+
+func TestSampleCountsUnfinishedStarts(t *testing.T) {
+	i, _ := fresh(nil)
+	busy(i, 0, 0)
+	i.bands[0].base = 0.1
+	i.judge(400*ms, Gauges{Busy: -1})
+	if i.lag < 2.9 || i.lag > 3.1 {
+		t.Errorf("lag %v, want 3: two runs of 400 ms so far over 100", i.lag)
+	}
+}
+
+func TestStandstillSpoilsNoSample(t *testing.T) {
+	i, _ := fresh(nil)
+	i.sum[0], i.count[0] = 100, 2
+	i.Tick(700*ms, Gauges{Busy: -1})
+	if i.count[0] != 0 || i.lag != 0 {
+		t.Error("the stretched sample was kept")
+	}
+}
+
+func TestEveryItemIsAnsweredByItsDueTime(t *testing.T) {
+	i, b := fresh(map[string]any{"stop_mode": "off"})
+	busy(i, 0, 1)
+	i.AtCall(10*ms, 1)
+	i.Arrived(10*ms, 3, Work{KB: 1, Forerunner: GoneForerunner, Band: 1})
+	i.Tick(2990*ms, Gauges{Busy: -1})
+	b.wants(t, 1, "scrap 0")
+	b.wants(t, 1, "scrap 1")
+	b.wants(t, 1, "back 2")
+	b.wants(t, 1, "scrap 3")
+	i.Tick(3100*ms, Gauges{Busy: -1})
+	b.wants(t, 1, "scrap 0")
+}
+
+func TestReceiptIsRecordedBeforeTheRun(t *testing.T) {
+	i, b := fresh(nil)
+	i.Arrived(0, 0, of(1))
+	i.Settle(0)
+	if len(b.lines) < 3 || b.lines[1] != "record 0 for 10.08s" || b.lines[2] != "start 0" {
+		t.Errorf("%q", b.lines)
+	}
+}
+
+func TestRepeatOfARunJoinsAndIsNeverRun(t *testing.T) {
+	i, b := fresh(nil)
+	i.Arrived(0, 0, of(1))
+	i.Settle(0)
+	i.Arrived(0, 1, Work{Band: 1, KB: 10, Forerunner: 0})
+	i.Arrived(0, 2, Work{Band: 1, KB: 10, Forerunner: GoneForerunner})
+	i.Settle(0)
+	b.wants(t, 1, "join 1")
+	b.wants(t, 1, "join 2")
+	b.wants(t, 1, "start 0")
+	b.wants(t, 0, "start 1")
+}
+
+func TestRepeatOfAHeldOneTakesItsPlace(t *testing.T) {
+	i, b := fresh(nil)
+	busy(i, 1, 1)
+	i.Arrived(0, 9, Work{Band: 1, KB: 10, Forerunner: 2})
+	b.wants(t, 1, "back 2")
+	b.wants(t, 0, "forget 2")
+	b.wants(t, 1, "record 9")
+	if len(i.receipts) != 3 {
+		t.Errorf("%d receipts, want 3", len(i.receipts))
+	}
+}
+
+func TestNoRunWhereTheReceiptDoesNotFit(t *testing.T) {
+	i, b := fresh(map[string]any{"memory_kb": 40.0})
+	i.Arrived(0, 0, of(1))
+	b.wants(t, 1, "back 0")
+	b.wants(t, 0, "record 0")
+}
+
+func TestWhatHasRunIsScrappedNotTurnedBack(t *testing.T) {
+	i, b := fresh(nil)
+	i.Arrived(0, 0, of(2))
+	i.Settle(0)
+	i.AtCall(0, 0)
+	i.Settle(0)
+	i.Returned(5*ms, 0, TimedOut, 5*ms)
+	b.wants(t, 1, "scrap 0")
+	b.wants(t, 0, "back 0")
+	i.Settle(5 * ms)
+	b.wants(t, 1, "call 0")
+}
+
+func TestCallThatNeverRanIsRepeated(t *testing.T) {
+	i, b := fresh(nil)
+	i.Arrived(0, 0, of(2))
+	i.Settle(0)
+	i.AtCall(0, 0)
+	i.Settle(0)
+	i.Returned(5*ms, 0, Full, 5*ms)
+	i.Settle(5 * ms)
+	b.wants(t, 2, "call 0")
+}
+
+func TestNothingPastTheGraceRuns(t *testing.T) {
+	i, b := fresh(nil)
+	i.Leave(0, 5*time.Second)
+	i.Arrived(900*ms, 0, of(0))
+	i.Arrived(1100*ms, 1, of(0))
+	i.Settle(1100 * ms)
+	b.wants(t, 1, "start 0")
+	b.wants(t, 1, "back 1")
+	b.wants(t, 0, "start 1")
+}
+
+func TestAllIsAnsweredBeforeTheStop(t *testing.T) {
+	i, b := fresh(nil)
+	busy(i, 0, 1)
+	i.Leave(0, 500*ms)
+	i.Tick(420*ms, Gauges{Busy: -1})
+	b.wants(t, 1, "scrap 0")
+	b.wants(t, 1, "scrap 1")
+	b.wants(t, 1, "back 2")
+}
+
+func TestColdCrowdIsSmaller(t *testing.T) {
+	cold, _ := fresh(map[string]any{"cold": true, "cold_from": 0.2, "warm_s": 10.0, "crowd": 8.0})
+	warm, _ := fresh(map[string]any{"crowd": 8.0})
+	if c, w := cold.ceiling(0), warm.ceiling(0); c != 3 || w != 12 {
+		t.Errorf("ceilings %d and %d, want 3 and 12", c, w)
+	}
+}
+
+func TestMemoryBoundsStartsAndHold(t *testing.T) {
+	i, b := fresh(map[string]any{"memory_kb": 100.0, "cores": 8.0})
+	for w := range 9 {
+		i.Arrived(0, w, of(0))
+	}
+	i.Settle(0)
+	if i.memory > 90 {
+		t.Errorf("%.0f of 100 kB in use", i.memory)
+	}
+	b.wants(t, 1, "start 0")
+}
+
+func TestCallsStayWithinTheShareWithLingeringOnes(t *testing.T) {
+	i, b := fresh(map[string]any{"calls_share": 1.9})
+	busy(i, 0, 0)
+	i.AtCall(0, 0)
+	i.AtCall(0, 1)
+	i.Settle(0)
+	b.wants(t, 1, "call")
+	i.Returned(50*ms, 0, TimedOut, 50*ms)
+	i.Settle(60 * ms)
+	b.wants(t, 1, "call")
+	i.Tick(260*ms, Gauges{Busy: -1})
+	i.Settle(260 * ms)
+	b.wants(t, 2, "call")
+}
+
+func TestShareUnderOneSpacesSingleCalls(t *testing.T) {
+	i, b := fresh(map[string]any{"calls_share": 0.25})
+	busy(i, 0, 0)
+	i.AtCall(0, 0)
+	i.AtCall(0, 1)
+	i.Settle(0)
+	i.Returned(100*ms, 0, OK, 100*ms)
+	i.Settle(390 * ms)
+	b.wants(t, 1, "call")
+	i.Settle(400 * ms)
+	b.wants(t, 2, "call")
+}
+
+func TestCallsStopAfterFailuresAndReturnByOneTrial(t *testing.T) {
+	i, b := fresh(nil)
+	i.fails, i.nextTrial = failures, 300*ms
+	busy(i, 0, 0)
+	i.AtCall(0, 0)
+	i.AtCall(0, 1)
+	i.Settle(0)
+	b.wants(t, 0, "call")
+	i.Settle(300 * ms)
+	b.wants(t, 1, "call")
+	i.Returned(310*ms, 0, OK, 10*ms)
+	i.Settle(310 * ms)
+	b.wants(t, 2, "call")
+}
+
+func TestHeldStartByPayoffOverWork(t *testing.T) {
+	i, b := fresh(nil)
+	busy(i, 0, 0)
+	i.Arrived(0, 5, of(0))
+	i.Arrived(0, 6, of(2))
+	i.Ended(10*ms, 0, Failed, 10*ms)
+	i.Settle(10 * ms)
+	b.wants(t, 1, "start 6")
+	b.wants(t, 0, "start 5")
+}
+
+func TestCustomerBeyondItsShareComesLast(t *testing.T) {
+	i, b := fresh(map[string]any{"customer.count": 2.0, "customer.0.share_per_s": 1.0, "customer.1.share_per_s": 9.0,
+		"over_share_payoff": 0.05})
+	busy(i, 0, 0)
+	i.Arrived(0, 5, of(0))
+	other := of(0)
+	other.Customer = 1
+	i.Arrived(0, 6, other)
+	i.Ended(10*ms, 0, Failed, 10*ms)
+	i.Settle(10 * ms)
+	b.wants(t, 1, "start 6")
+}
+
+func TestFreeValueFallsWhenNothingWaits(t *testing.T) {
+	i, b := fresh(map[string]any{"free_value": "threshold"})
+	i.shed, i.flag = 0.5, true
+	i.say()
+	b.wants(t, 1, "free 0.400")
+	i.turned, i.read = 10, 20
+	i.say()
+	b.wants(t, 1, "free 0.490")
+}
+
+func TestAbsurdSettingsDoNoHarm(t *testing.T) {
+	b := &book{}
+	i := New(b, 0, map[string]any{"cores": -1.0, "memory_kb": "x", "band.count": 1e12, "fleet": 0.0})
+	i.Arrived(0, 0, of(0))
+	i.Arrived(0, 1, of(5000))
+	i.Settle(0)
+	b.wants(t, 1, "start 0")
+	b.wants(t, 1, "back 1")
+}
