--- a/policy/policy.go
+++ b/policy/policy.go
@@ -14,20 +14,21 @@
 )
 
 const (
-	ms        = time.Millisecond
-	sweepGap  = 20 * ms  // between two Ticks
-	period    = 500 * ms // between two samples of lag
-	threshold = 1.0      // lag over which a sample is a crossing
-	dampening = 2        // crossings in a row before the flag goes up
-	shedGain  = 0.3      // part of the share turned back that the free value takes over a period
-	margin    = 40 * ms  // answers leave so long before they are due
-	finish    = 1.0      // share of its expected run that must fit before the due time
-	fillHold  = 0.70     // share of memory up to which work is held,
-	fillRun   = 0.90     // and up to which it is started
-	crowdPart = 0.75     // share of the survived crowd that is used
-	stall     = 100 * ms // a Tick so late tells of a standstill
-	failures  = 5        // calls failed in a row before they stop
-	trialGap  = 500 * ms // between single trials
+	ms         = time.Millisecond
+	sweepGap   = 20 * ms  // between two Ticks
+	period     = 500 * ms // between two samples of lag
+	duePart    = 0.4      // of the bands' due times, in base latencies: lag over it is a crossing
+	everywhere = 0.15     // share turned back over which other servers are taken to be no better off
+	dampening  = 2        // crossings in a row before the flag goes up
+	shedGain   = 0.3      // part of the share turned back that the free value takes over a period
+	margin     = 40 * ms  // answers leave so long before they are due
+	leastFit   = 0.4      // part of its expected run that must fit before the due time
+	fillHold   = 0.70     // share of memory up to which work is held,
+	fillRun    = 0.90     // and up to which it is started
+	crowdPart  = 0.75     // share of the survived crowd that is used
+	stall      = 100 * ms // a Tick so late tells of a standstill
+	failures   = 5        // calls failed in a row before they stop
+	trialGap   = 500 * ms // between single trials
 )
 
 type state uint8
@@ -77,6 +78,7 @@
 	width, callWidth          float64 // how many run, how many calls are out
 	memory, ram               float64
 	sum, count                [2]float64 // latency ratios of ended starts: this period's, the last's
+	turnedShare               float64    // of the read, lately
 	read, turned, done        int        // in this period, as is the number of Ticks
 	waited                    int        // that found work waiting for a start
 	lag, shed                 float64
@@ -296,13 +298,12 @@
 		payoff *= i.num("over_share_payoff", 1)
 	}
 	if it.state == held {
-		ends := now + time.Duration(finish*whole*1e9)
-		if ends > it.use {
-			payoff *= b.late
-		}
-		if ends > it.due-margin {
-			payoff = 0
+		// The less of its expected run fits before the due time, the less likely it is of use.
+		chance := min(((it.use-now).Seconds()/whole-leastFit)/(1-leastFit), 1)
+		if (it.due - margin - now).Seconds() > whole {
+			chance = max(chance, b.late)
 		}
+		payoff *= chance
 	}
 	if i.word("payoff_by", "request") == "work" {
 		return payoff
@@ -310,10 +311,10 @@
 	return payoff / max(run, 1e-4)
 }
 
-// nowhere tells whether another server would not help either: the time is too short for any, it
-// has been elsewhere already, or this server is not slow in itself, so the load is everywhere.
+// nowhere tells whether another server would not help either: it has been elsewhere already, or so
+// much is turned back here that the load must be everywhere.
 func (i *Instance) nowhere(w int) bool {
-	return true
+	return i.items[w].Repeat || i.turnedShare > everywhere
 }
 
 // turnBack ends a work item that has not run, at once, with advice on when to come back.
@@ -674,7 +675,7 @@
 	}
 	i.sum, i.count = [2]float64{0, i.sum[0]}, [2]float64{0, i.count[0]}
 	was := i.flag
-	if i.lag > threshold {
+	if i.lag > i.threshold() {
 		i.crossings++
 	} else {
 		i.crossings = 0
@@ -699,9 +700,24 @@
 		c := &i.customers[n]
 		c.tokens = min(c.tokens+c.rate*period.Seconds(), 2*c.rate)
 	}
+	if i.read > 0 {
+		i.turnedShare += (float64(i.turned)/float64(max(i.read, i.turned)) - i.turnedShare) / 4
+	}
 	i.read, i.turned, i.done, i.waited = 0, 0, 0, 0
 }
 
+// threshold is the lag at which the due times are half used up, whatever the bands' base latency.
+func (i *Instance) threshold() float64 {
+	sum, n := 0.0, 0.0
+	for n2 := range i.bands {
+		if b := &i.bands[n2]; b.base > 0 {
+			sum += b.due.Seconds() / b.base
+			n++
+		}
+	}
+	return max(duePart*sum/max(n, 1)-1, 0.5)
+}
+
 // say sets the value that rides on all answers, so that callers keep at home what would be refused.
 func (i *Instance) say() {
 	kind := i.word("free_value", "off")
@@ -711,7 +727,7 @@
 		i.shed += shedGain * (1 - i.shed) * float64(i.turned) / float64(max(i.read, i.turned))
 	case i.waited == 0:
 		i.shed -= 0.1 // nothing had to wait: callers keep too much at home
-	case i.lag <= threshold:
+	case i.lag <= i.threshold():
 		i.shed -= 0.03
 	}
 	i.shed = min(max(i.shed, 0), 0.95)
