--- a/policy/policy.go
+++ b/policy/policy.go
@@ -322,7 +322,7 @@
 	it := &i.items[w]
 	pause := time.Duration(0)
 	if v, given := i.told["come_back"].(bool); !given || v {
-		clear := i.nextSample - now + time.Duration(float64(max(i.waiting(), 0))/i.width*i.bands[0].latency*1e9)
+		clear := 50*ms + time.Duration(float64(max(i.waiting(), 0))/i.width*i.bands[0].latency*1e9)
 		if i.leaving {
 			clear = time.Hour
 		}
