Free value rises in a jam before reading

Now the value also rises while the recent wait before reading is over 0.15 of the due time. Covers any pile-up before reading (hot subject, reconnecting callers, slow cores); harms if reading is slow by nature: then callers are kept away from a server that could serve.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,6 +26,7 @@
 	fillHold   = 0.70     // share of memory up to which work is held,
 	fillRun    = 0.90     // and up to which it is started
 	crowdPart  = 0.75     // share of the survived crowd that is used
+	jam        = 0.15     // wait before reading, as a part of the due time, that tells of a jam
 	stall      = 100 * ms // a Tick so late tells of a standstill
 	failures   = 5        // calls failed in a row before they stop
 	trialGap   = 500 * ms // between single trials
@@ -78,6 +79,7 @@
 	width, callWidth          float64 // how many run, how many calls are out
 	memory, ram               float64
 	sum, count                [2]float64 // latency ratios of ended starts: this period's, the last's
+	unread                    float64    // recent wait before reading, seconds
 	turnedShare               float64    // of the read, lately
 	read, turned, done        int        // in this period, as is the number of Ticks
 	waited                    int        // that found work waiting for a start
@@ -166,6 +168,7 @@
 		it.due, it.use = min(it.due, i.stopAt), min(it.use, i.stopAt)
 	}
 	it.beyond = i.overShare(work)
+	learn(&i.unread, work.Waited.Seconds(), 3)
 	switch first := work.Forerunner; {
 	case first == NoForerunner:
 	case first >= 0 && first < len(i.items) && i.items[first].state == held && !i.items[first].ran:
@@ -723,7 +726,8 @@
 	kind := i.word("free_value", "off")
 	was := i.shed
 	switch {
-	case i.flag && i.turned > 0:
+	case i.turned > 0 && (i.flag || i.unread > jam*i.bands[0].due.Seconds()):
+		// A jam before reading counts too: refusing late tells nobody, and nothing has to wait.
 		i.shed += shedGain * (1 - i.shed) * float64(i.turned) / float64(max(i.read, i.turned))
 	case i.waited == 0:
 		i.shed -= 0.1 // nothing had to wait: callers keep too much at home
