Learn from runs that were cut off too

Cause: expected runs were learned from finished ones only, so on slow or crowded servers hopeless runs went on starting.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -575,7 +575,12 @@
 // scrap answers a work item that has run; what is on the cores goes on unless it can be stopped.
 func (i *Instance) scrap(now time.Duration, w int) {
 	it := &i.items[w]
+	b := &i.bands[it.Band]
 	i.sample(now, it)
+	if took := (now - it.began).Seconds(); took > b.span {
+		learn(&b.latency, max(took-it.callTime.Seconds(), b.latency), 16) // a run cut off took at least so long
+		learn(&b.span, took, 16)
+	}
 	it.answered = true
 	i.host.Scrap(w)
 	i.halt(it, w)
