--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,7 +22,7 @@
 	dampening  = 2        // crossings in a row before the flag goes up
 	shedGain   = 0.3      // part of the share turned back that the free value takes over a period
 	margin     = 40 * ms  // answers leave so long before they are due
-	leastFit   = 0.4      // part of its expected run that must fit before the due time
+	leastFit   = 0.8      // part of its expected run that must fit before the due time
 	fillHold   = 0.70     // share of memory up to which work is held,
 	fillRun    = 0.90     // and up to which it is started
 	crowdPart  = 0.75     // share of the survived crowd that is used
