--- a/policy/policy.go
+++ b/policy/policy.go
@@ -81,8 +81,8 @@
 	sum, count                [2]float64 // latency ratios of ended starts: this period's, the last's
 	unread                    float64    // recent wait before reading, seconds
 	turnedShare               float64    // of the read, lately
-	read, turned, done        int        // in this period, as is the number of Ticks
-	waited                    int        // that found work waiting for a start
+	read, turned, missed      int        // in this period, as are the runs done and the Ticks
+	done, waited              int        // that found work waiting for a start
 	lag, shed                 float64
 	crossings                 int
 	flag, leaving             bool
@@ -332,6 +332,9 @@
 		pause = min(time.Duration(float64(clear)*(0.75+0.5*i.random())), i.span("come_back_s", 0))
 	}
 	i.turned++
+	if it.Rank >= i.shed {
+		i.missed++ // callers that heed the free value would have sent it
+	}
 	i.host.TurnBack(w, max(pause, 0), no)
 	i.forgetUnrun(it, w)
 	i.drop(w)
@@ -711,7 +714,7 @@
 	if i.read > 0 {
 		i.turnedShare += (float64(i.turned)/float64(max(i.read, i.turned)) - i.turnedShare) / 4
 	}
-	i.read, i.turned, i.done, i.waited = 0, 0, 0, 0
+	i.read, i.turned, i.missed, i.done, i.waited = 0, 0, 0, 0, 0
 }
 
 // threshold is the lag at which the due times are half used up, whatever the bands' base latency.
@@ -731,9 +734,9 @@
 	kind := i.word("free_value", "off")
 	was := i.shed
 	switch {
-	case i.turned > 0 && (i.flag || i.unread > jam*i.bands[0].due.Seconds()):
+	case i.missed > 0 && (i.flag || i.unread > jam*i.bands[0].due.Seconds()):
 		// A jam before reading counts too: refusing late tells nobody, and nothing has to wait.
-		i.shed += shedGain * (1 - i.shed) * float64(i.turned) / float64(max(i.read, i.turned))
+		i.shed += shedGain * (1 - i.shed) * float64(i.missed) / float64(max(i.read, i.turned))
 	case i.waited == 0:
 		i.shed -= 0.1 // nothing had to wait: callers keep too much at home
 	case i.lag <= i.threshold():
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -250,7 +250,7 @@
 	i.shed, i.flag = 0.5, true
 	i.say()
 	b.wants(t, 1, "free 0.400")
-	i.turned, i.read = 10, 20
+	i.turned, i.missed, i.read = 10, 10, 20
 	i.say()
 	b.wants(t, 1, "free 0.490")
 }
