--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,6 +19,7 @@
 	period     = 500 * ms // between two samples of lag
 	duePart    = 0.4      // of the bands' due times, in base latencies: lag over it is a crossing
 	everywhere = 0.15     // share turned back over which other servers are taken to be no better off
+	baseDrift  = 0.003    // a base latency's way back to the recent one, a period
 	dampening  = 2        // crossings in a row before the flag goes up
 	shedGain   = 0.3      // part of the share turned back that the free value takes over a period
 	margin     = 40 * ms  // answers leave so long before they are due
@@ -60,7 +61,10 @@
 	base, latency, span, perHint, ended float64 // seconds: least seen, recent run less calls, recent run
 }
 
-type customer struct{ rate, tokens float64 }
+type customer struct {
+	rate, tokens float64
+	seen         time.Duration
+}
 
 // Instance is the decisions of one server.
 type Instance struct {
@@ -83,7 +87,7 @@
 	turnedShare               float64    // of the read, lately
 	read, turned, missed      int        // in this period, as are the runs done and the Ticks
 	done, waited              int        // that found work waiting for a start
-	lag, shed                 float64
+	lag, limit, shed          float64    // limit: the threshold of lag
 	crossings                 int
 	flag, leaving             bool
 	fails                     int
@@ -98,7 +102,12 @@
 	i.cores = int(min(max(i.num("cores", 1), 1), 4096))
 	i.width = float64(i.cores)
 	i.ram = max(i.num("memory_kb", 1e6), 1)
-	i.callWidth = i.callCeiling()
+	switch i.callWidth = 1e6; i.word("below", "off") {
+	case "shared":
+		i.callWidth = max(math.Floor(i.num("calls_share", 1)), 1)
+	case "tier":
+		i.callWidth = max(i.num("crowd", 2)*float64(i.cores)*crowdPart, 1)
+	}
 	for n := range int(min(i.num("band.count", 1), 1000)) {
 		at := fmt.Sprintf("band.%d.", n)
 		b := band{kind: i.word(at+"kind", "effectful"), payoff: i.num(at+"payoff", 1),
@@ -111,7 +120,7 @@
 	}
 	for n := range int(min(i.num("customer.count", 0), 10000)) {
 		rate := i.num(fmt.Sprintf("customer.%d.share_per_s", n), 0) / max(i.num("fleet", 1), 1)
-		i.customers = append(i.customers, customer{rate, 2 * rate})
+		i.customers = append(i.customers, customer{rate, 2 * rate, 0})
 	}
 	i.nextSample, i.wanted = period, sweepGap
 	h.Health(true, true)
@@ -167,7 +176,7 @@
 	if i.leaving {
 		it.due, it.use = min(it.due, i.stopAt), min(it.use, i.stopAt)
 	}
-	it.beyond = i.overShare(work)
+	it.beyond = i.overShare(now, work)
 	learn(&i.unread, work.Waited.Seconds(), 3)
 	switch first := work.Forerunner; {
 	case first == NoForerunner:
@@ -202,7 +211,9 @@
 		if i.density(now, least) >= i.density(now, w) {
 			least = w
 		}
-		i.turnBack(now, least, i.nowhere(least))
+		// Another server would not help what has been elsewhere already, nor when so much is turned
+		// back here that the load must be everywhere.
+		i.turnBack(now, least, i.items[least].Repeat || i.turnedShare > everywhere)
 		if least == w {
 			return
 		}
@@ -248,11 +259,13 @@
 	it.receiptEnds = 0
 }
 
-func (i *Instance) overShare(work Work) bool {
+func (i *Instance) overShare(now time.Duration, work Work) bool {
 	if work.Customer < 0 || work.Customer >= len(i.customers) || i.customers[work.Customer].rate <= 0 {
 		return false
 	}
 	c := &i.customers[work.Customer]
+	c.tokens = min(c.tokens+c.rate*(now-c.seen).Seconds(), 2*c.rate)
+	c.seen = now
 	if c.tokens < 1 {
 		return true
 	}
@@ -314,12 +327,6 @@
 	return payoff / max(run, 1e-4)
 }
 
-// nowhere tells whether another server would not help either: it has been elsewhere already, or so
-// much is turned back here that the load must be everywhere.
-func (i *Instance) nowhere(w int) bool {
-	return i.items[w].Repeat || i.turnedShare > everywhere
-}
-
 // turnBack ends a work item that has not run, at once, with advice on when to come back.
 func (i *Instance) turnBack(now time.Duration, w int, no bool) {
 	it := &i.items[w]
@@ -336,20 +343,16 @@
 		i.missed++ // callers that heed the free value would have sent it
 	}
 	i.host.TurnBack(w, max(pause, 0), no)
-	i.forgetUnrun(it, w)
 	i.drop(w)
 }
 
-func (i *Instance) forgetUnrun(it *item, w int) {
+// drop takes a work item out of all tables; the receipt of one that has run stays its whole window.
+func (i *Instance) drop(w int) {
+	it := &i.items[w]
 	if it.receiptEnds != 0 && !it.ran {
 		i.host.Forget(w)
 		i.dropReceipt(it)
 	}
-}
-
-// drop takes a work item out of all tables.
-func (i *Instance) drop(w int) {
-	it := &i.items[w]
 	i.held, i.standing = without(i.held, w), without(i.standing, w)
 	i.memory -= i.kb(it)
 	it.state = absent
@@ -480,17 +483,6 @@
 	i.standing = append(i.standing, w)
 }
 
-// callCeiling is how many calls may be out at once for the told share.
-func (i *Instance) callCeiling() float64 {
-	switch i.word("below", "off") {
-	case "shared":
-		return max(math.Floor(i.num("calls_share", 1)), 1)
-	case "tier":
-		return max(i.num("crowd", 2)*float64(i.cores)*crowdPart, 1)
-	}
-	return 1e6
-}
-
 func (i *Instance) serveCalls(now time.Duration) {
 	for len(i.standing) > 0 {
 		w, most := -1, -1.0
@@ -567,6 +559,7 @@
 	i.stand(now, w)
 	switch {
 	case it.answered:
+		i.halt(it, w)
 	case b.poorer > 0:
 		i.resume(now, w)
 		i.host.LeaveOut(w)
@@ -601,7 +594,6 @@
 	it := &i.items[w]
 	switch it.state {
 	case held, joined:
-		i.forgetUnrun(it, w)
 		i.drop(w)
 	case running, atCall, calling:
 		it.answered = true
@@ -680,13 +672,19 @@
 			n++
 		}
 	}
-	i.lag = 0
-	if n > 0 {
-		i.lag = sum/n - 1
+	i.lag = max(sum/max(n, 1)-1, 0)
+	sum, n = 0, 0
+	for k := range i.bands {
+		if b := &i.bands[k]; b.base > 0 {
+			sum += b.due.Seconds() / b.base
+			n++
+			b.base += (b.latency - b.base) * baseDrift
+		}
 	}
+	i.limit = max(duePart*sum/max(n, 1)-1, 0.5)
 	i.sum, i.count = [2]float64{0, i.sum[0]}, [2]float64{0, i.count[0]}
 	was := i.flag
-	if i.lag > i.threshold() {
+	if i.lag > i.limit {
 		i.crossings++
 	} else {
 		i.crossings = 0
@@ -703,32 +701,12 @@
 	case busy >= 0.97:
 		i.width = max(i.width-1, float64(i.cores))
 	}
-	for n := range i.bands {
-		b := &i.bands[n]
-		b.base += (b.latency - b.base) * 0.01 * min(b.base, 1)
-	}
-	for n := range i.customers {
-		c := &i.customers[n]
-		c.tokens = min(c.tokens+c.rate*period.Seconds(), 2*c.rate)
-	}
 	if i.read > 0 {
 		i.turnedShare += (float64(i.turned)/float64(max(i.read, i.turned)) - i.turnedShare) / 4
 	}
 	i.read, i.turned, i.missed, i.done, i.waited = 0, 0, 0, 0, 0
 }
 
-// threshold is the lag at which the due times are half used up, whatever the bands' base latency.
-func (i *Instance) threshold() float64 {
-	sum, n := 0.0, 0.0
-	for n2 := range i.bands {
-		if b := &i.bands[n2]; b.base > 0 {
-			sum += b.due.Seconds() / b.base
-			n++
-		}
-	}
-	return max(duePart*sum/max(n, 1)-1, 0.5)
-}
-
 // say sets the value that rides on all answers, so that callers keep at home what would be refused.
 func (i *Instance) say() {
 	kind := i.word("free_value", "off")
@@ -739,7 +717,7 @@
 		i.shed += shedGain * (1 - i.shed) * float64(i.missed) / float64(max(i.read, i.turned))
 	case i.waited == 0:
 		i.shed -= 0.1 // nothing had to wait: callers keep too much at home
-	case i.lag <= i.threshold():
+	case i.lag <= i.limit:
 		i.shed -= 0.03
 	}
 	i.shed = min(max(i.shed, 0), 0.95)
