An idle server tries also what likely ends late

Covers misleading hints in general; harms when load rises while a hopeless run that can't be stopped still holds a core.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -79,21 +79,19 @@
 	lingering []time.Duration // ends of calls given up; emptied by time
 	chance    uint64
 
-	cores, onCores, calls     int
-	width, callWidth          float64 // how many run, how many calls are out
-	memory, ram               float64
-	sum, count                [2]float64 // latency ratios of ended starts: this period's, the last's
-	unread                    float64    // recent wait before reading, seconds
-	turnedShare               float64    // of the read, lately
-	read, turned, missed      int        // in this period, as are the runs done and the Ticks
-	done, waited              int        // that found work waiting for a start
-	lag, limit, shed          float64    // limit: the threshold of lag
-	crossings                 int
-	flag, leaving             bool
-	fails                     int
-	nextTrial, nextCall       time.Duration
-	nextSample, wanted, grace time.Duration
-	stopAt                    time.Duration
+	cores, onCores, calls int
+	crossings, fails      int
+	memory, ram           float64
+	width, callWidth      float64    // how many run, how many calls are out
+	sum, count            [2]float64 // latency ratios of ended starts: this period's, the last's
+	unread, turnedShare   float64    // recent wait before reading, seconds; share turned back lately
+	read, turned, missed  int        // in this period, as are the runs done and the Ticks
+	done, waited          int        // that found work waiting for a start
+	lag, limit, shed      float64    // limit: the threshold of lag
+	flag, leaving         bool
+	nextTrial, nextCall   time.Duration
+	nextSample, wanted    time.Duration
+	grace, stopAt         time.Duration
 }
 
 // New makes the instance of a server that has just started.
@@ -114,8 +112,8 @@
 			late: i.num(at+"late_payoff", 0), poorer: i.num(at+"poorer", 0),
 			due: i.span(at+"due_s", 1), patience: i.span(at+"patience_s", 2),
 			window: i.span(at+"window_s", 10), calls: i.flagged(at + "calls")}
-		b.latency = b.due.Seconds() / 4
-		b.span = b.latency
+		b.latency = max(b.due.Seconds()/4, 1e-3) // until some have ended
+		b.base, b.span = b.latency, b.latency
 		i.bands = append(i.bands, b)
 	}
 	for n := range int(min(i.num("customer.count", 0), 10000)) {
@@ -319,6 +317,9 @@
 		if (it.due - margin - now).Seconds() > whole {
 			chance = max(chance, b.late)
 		}
+		if 2*i.onCores < i.cores && it.use > now {
+			chance = max(chance, 0.01) // guesses mislead, and trying costs an idle server nothing
+		}
 		payoff *= chance
 	}
 	if i.word("payoff_by", "request") == "work" {
@@ -434,7 +435,7 @@
 			if it.Hint > 0 {
 				learn(&b.perHint, run/it.Hint.Seconds(), b.ended)
 			}
-			if b.ended++; b.ended >= 8 && (b.base == 0 || b.latency < b.base) {
+			if b.ended++; b.ended <= 8 || b.latency < b.base {
 				b.base = b.latency
 			}
 		}
@@ -450,17 +451,14 @@
 // sample counts a start's latency toward the period in which it began.
 func (i *Instance) sample(now time.Duration, it *item) {
 	age := int((i.nextSample - it.began - 1) / period)
-	if r := i.ratio(now, it); age < 2 && r > 0 {
-		i.sum[age] += r
+	if age < 2 {
+		i.sum[age] += i.ratio(now, it)
 		i.count[age]++
 	}
 }
 
 func (i *Instance) ratio(now time.Duration, it *item) float64 {
 	b := &i.bands[it.Band]
-	if b.base == 0 {
-		return 0
-	}
 	run := now - it.began - it.callTime
 	if it.state == atCall || it.state == calling {
 		run -= now - it.since
@@ -664,24 +662,19 @@
 	sum, n := i.sum[0]+i.sum[1], i.count[0]+i.count[1]
 	for w := range i.items {
 		it := &i.items[w]
-		if it.state < running || it.state == joined || it.answered || it.began < now-2*period {
-			continue
-		}
-		if r := i.ratio(now, it); r > 0 {
-			sum += r
+		if it.state >= running && it.state != joined && !it.answered && it.began >= now-2*period {
+			sum += i.ratio(now, it)
 			n++
 		}
 	}
 	i.lag = max(sum/max(n, 1)-1, 0)
-	sum, n = 0, 0
+	i.limit = -1
 	for k := range i.bands {
-		if b := &i.bands[k]; b.base > 0 {
-			sum += b.due.Seconds() / b.base
-			n++
-			b.base += (b.latency - b.base) * baseDrift
-		}
+		b := &i.bands[k]
+		i.limit += duePart * b.due.Seconds() / b.base / float64(len(i.bands))
+		b.base += (b.latency - b.base) * baseDrift
 	}
-	i.limit = max(duePart*sum/max(n, 1)-1, 0.5)
+	i.limit = max(i.limit, 0.5)
 	i.sum, i.count = [2]float64{0, i.sum[0]}, [2]float64{0, i.count[0]}
 	was := i.flag
 	if i.lag > i.limit {
