Free value, advice and starts follow a jam before reading at once

Cause: once the wait before reading passes the callers' time-outs nobody hears the value or the advice. Told from plain overload by the wait before reading, not by lag: nothing runs, so lag is silent. Change: from 0.15 to 0.5 of the due time of unread wait the value and the advice rise to their full, and up to half fewer run so that reading catches up. Covers slow cores, reconnecting masses, retry storms; harms when reading is slow by nature.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,7 +27,8 @@
 	fillHold   = 0.70     // share of memory up to which work is held,
 	fillRun    = 0.90     // and up to which it is started
 	crowdPart  = 0.75     // share of the survived crowd that is used
-	jam        = 0.15     // wait before reading, as a part of the due time, that tells of a jam
+	jamFrom    = 0.15     // wait before reading, as a part of the due time, at which a jam begins,
+	jamFull    = 0.5      // and at which nothing more should be sent
 	stall      = 100 * ms // a Tick so late tells of a standstill
 	failures   = 5        // calls failed in a row before they stop
 	trialGap   = 500 * ms // between single trials
@@ -79,19 +80,19 @@
 	lingering []time.Duration // ends of calls given up; emptied by time
 	chance    uint64
 
-	cores, onCores, calls int
-	crossings, fails      int
-	memory, ram           float64
-	width, callWidth      float64    // how many run, how many calls are out
-	sum, count            [2]float64 // latency ratios of ended starts: this period's, the last's
-	unread, turnedShare   float64    // recent wait before reading, seconds; share turned back lately
-	read, turned, missed  int        // in this period, as are the runs done and the Ticks
-	done, waited          int        // that found work waiting for a start
-	lag, limit, shed      float64    // limit: the threshold of lag
-	flag, leaving         bool
-	nextTrial, nextCall   time.Duration
-	nextSample, wanted    time.Duration
-	grace, stopAt         time.Duration
+	cores, onCores, calls  int
+	crossings, fails       int
+	memory, ram            float64
+	width, callWidth       float64    // how many run, how many calls are out
+	sum, count             [2]float64 // latency ratios of ended starts: this period's, the last's
+	unread, turnedShare    float64    // recent wait before reading, seconds; share turned back lately
+	read, turned, missed   int        // in this period, as are the runs done and the Ticks
+	done, waited           int        // that found work waiting for a start
+	lag, limit, shed, said float64    // limit: the threshold of lag
+	flag, leaving          bool
+	nextTrial, nextCall    time.Duration
+	nextSample, wanted     time.Duration
+	grace, stopAt          time.Duration
 }
 
 // New makes the instance of a server that has just started.
@@ -277,7 +278,7 @@
 // counted since they all may come back at once.
 func (i *Instance) room(now time.Duration) int {
 	atCalls := i.calls + len(i.standing)
-	return min(int(i.width)-i.onCores, i.ceiling(now)-i.onCores-atCalls)
+	return min(int(i.width*(1-0.5*i.jam()))-i.onCores, i.ceiling(now)-i.onCores-atCalls)
 }
 
 func (i *Instance) ceiling(now time.Duration) int {
@@ -337,6 +338,7 @@
 		if i.leaving {
 			clear = time.Hour
 		}
+		clear = max(clear, time.Duration(i.jam()*float64(i.span("come_back_s", 0))))
 		pause = min(time.Duration(float64(clear)*(0.75+0.5*i.random())), i.span("come_back_s", 0))
 	}
 	i.turned++
@@ -647,6 +649,7 @@
 			i.scrap(now, w)
 		}
 	}
+	i.say()
 	if i.waiting() > 0 {
 		i.waited++
 	}
@@ -687,7 +690,7 @@
 		i.host.Log("shedding %v: lag %.2f, %d held, %d on cores, width %.0f, shed %.2f",
 			i.flag, i.lag, len(i.held), i.onCores, i.width, i.shed)
 	}
-	i.say()
+	i.adjust()
 	switch busy := g.Busy; {
 	case busy >= 0 && busy < 0.9 && i.waiting() > 0 && i.done > 0:
 		i.width = min(i.width+1, float64(i.ceiling(now)))
@@ -700,13 +703,10 @@
 	i.read, i.turned, i.missed, i.done, i.waited = 0, 0, 0, 0, 0
 }
 
-// say sets the value that rides on all answers, so that callers keep at home what would be refused.
-func (i *Instance) say() {
-	kind := i.word("free_value", "off")
-	was := i.shed
+// adjust moves the share of work, by rank, that callers should keep at home.
+func (i *Instance) adjust() {
 	switch {
-	case i.missed > 0 && (i.flag || i.unread > jam*i.bands[0].due.Seconds()):
-		// A jam before reading counts too: refusing late tells nobody, and nothing has to wait.
+	case i.missed > 0 && (i.flag || i.jam() > 0):
 		i.shed += shedGain * (1 - i.shed) * float64(i.missed) / float64(max(i.read, i.turned))
 	case i.waited == 0:
 		i.shed -= 0.1 // nothing had to wait: callers keep too much at home
@@ -714,16 +714,29 @@
 		i.shed -= 0.03
 	}
 	i.shed = min(max(i.shed, 0), 0.95)
+}
+
+// jam is 0 to 1: how near the wait before reading is to what makes all answers come too late. Past
+// that nobody hears a refusal any more, so the callers must be told while it grows.
+func (i *Instance) jam() float64 {
+	return min(max((i.unread/i.bands[0].due.Seconds()-jamFrom)/(jamFull-jamFrom), 0), 1)
+}
+
+// say sets the value that rides on all answers, so that callers keep at home what would be refused.
+func (i *Instance) say() {
+	value, kind := max(i.shed, i.jam()), i.word("free_value", "off")
 	if i.leaving {
-		i.shed = 1
+		value = 1
 	}
-	switch {
-	case i.shed == was:
-	case kind == "threshold":
-		i.host.Free(i.shed)
-	case kind == "share_of":
-		i.host.Free(1 - i.shed)
-	case kind == "window":
-		i.host.Free(max(2*i.width*(1-i.shed)/max(i.num("callers", 1), 1), 0.1))
+	if math.Abs(value-i.said) < 0.01 {
+		return
+	}
+	switch i.said = value; kind {
+	case "threshold":
+		i.host.Free(value)
+	case "share_of":
+		i.host.Free(1 - value)
+	case "window":
+		i.host.Free(max(2*i.width*(1-value)/max(i.num("callers", 1), 1), 0.1))
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -248,9 +248,11 @@
 func TestFreeValueFallsWhenNothingWaits(t *testing.T) {
 	i, b := fresh(map[string]any{"free_value": "threshold"})
 	i.shed, i.flag = 0.5, true
+	i.adjust()
 	i.say()
 	b.wants(t, 1, "free 0.400")
 	i.turned, i.missed, i.read = 10, 10, 20
+	i.adjust()
 	i.say()
 	b.wants(t, 1, "free 0.490")
 }
