--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,6 +7,7 @@
 package policy
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -26,6 +27,7 @@
 	leastFit   = 0.8      // part of its expected run that must fit before the due time
 	fillHold   = 0.70     // share of memory up to which work is held,
 	fillRun    = 0.90     // and up to which it is started
+	again      = 0.25     // payoff of a marked repeat: much of its time is used up already
 	crowdPart  = 0.75     // share of the survived crowd that is used
 	jamFrom    = 0.15     // wait before reading, as a part of the due time, at which a jam begins,
 	jamFull    = 0.5      // and at which nothing more should be sent
@@ -49,8 +51,8 @@
 	Work
 	state                 state
 	arrived, due, use     time.Duration // use: an answer after this is late
-	began, wait, since    time.Duration // since: at a call since
-	callTime, receiptEnds time.Duration
+	began, wait, callTime time.Duration
+	since, receiptEnds    time.Duration // since: at a call since
 	answered, ran, beyond bool
 }
 
@@ -97,7 +99,8 @@
 
 // New makes the instance of a server that has just started.
 func New(h Host, seed uint64, told map[string]any) *Instance {
-	i := &Instance{host: h, told: told, chance: seed&0xffffffff | 1<<32}
+	i := &Instance{host: h, told: told, chance: seed&0xffffffff | 1<<32, stopAt: math.MaxInt64,
+		grace: math.MaxInt64}
 	i.cores = int(min(max(i.num("cores", 1), 1), 4096))
 	i.width = float64(i.cores)
 	i.ram = max(i.num("memory_kb", 1e6), 1)
@@ -171,10 +174,8 @@
 	if work.Patience > 0 {
 		it.due = now + work.Patience
 	}
+	it.due = min(it.due, i.stopAt)
 	it.use = min(it.arrived+b.due-margin, it.due)
-	if i.leaving {
-		it.due, it.use = min(it.due, i.stopAt), min(it.use, i.stopAt)
-	}
 	it.beyond = i.overShare(now, work)
 	learn(&i.unread, work.Waited.Seconds(), 3)
 	switch first := work.Forerunner; {
@@ -191,7 +192,7 @@
 		i.host.Join(w)
 		return
 	}
-	late := i.leaving && it.arrived > i.grace
+	late := it.arrived > i.grace
 	switch {
 	case late || now >= it.due-margin || !i.fits(work.KB+i.receiptKB(it), fillHold):
 		i.turnBack(now, w, !late)
@@ -199,14 +200,7 @@
 	case i.flag && i.waiting() > 0:
 		// The cached flag refuses at entry. Departure: the flag is blind to payoff, so the least
 		// of the held goes in place of a newcomer that is worth more.
-		i.held = append(i.held, w)
-		least := w
-		for _, x := range i.held {
-			if i.density(now, x) < i.density(now, least) {
-				least = x
-			}
-		}
-		i.held = i.held[:len(i.held)-1]
+		least := slices.MinFunc(i.held, i.byDensity(now))
 		if i.density(now, least) >= i.density(now, w) {
 			least = w
 		}
@@ -244,7 +238,8 @@
 }
 
 func (i *Instance) receiptKB(it *item) float64 {
-	if b := &i.bands[it.Band]; b.kind == "receipted" || b.kind == "pure" && it.Subject && i.num("fresh_s", 0) > 0 {
+	kind, shared := i.bands[it.Band].kind, it.Subject && i.num("fresh_s", 0) > 0
+	if kind == "receipted" || kind == "pure" && shared {
 		return max(i.num("receipt_kb", 0), 0.001)
 	}
 	return 0
@@ -277,8 +272,7 @@
 // room is how many more may start now. The survived crowd is the ceiling, with those at calls
 // counted since they all may come back at once.
 func (i *Instance) room(now time.Duration) int {
-	atCalls := i.calls + len(i.standing)
-	return min(int(i.width*(1-0.5*i.jam()))-i.onCores, i.ceiling(now)-i.onCores-atCalls)
+	return min(int(i.width*(1-0.5*i.jam()))-i.onCores, i.ceiling(now)-i.onCores-i.calls-len(i.standing))
 }
 
 func (i *Instance) ceiling(now time.Duration) int {
@@ -287,8 +281,7 @@
 		from := min(i.num("cold_from", 0.2), 1)
 		warm = from + (1-from)*now.Seconds()/span.Seconds()
 	}
-	most := (1 + max(i.num("crowd", 2)-1, 0)*warm) * float64(i.cores) * crowdPart
-	return max(int(most), 1)
+	return max(int((1+max(i.num("crowd", 2)-1, 0)*warm)*float64(i.cores)*crowdPart), 1)
 }
 
 func (i *Instance) waiting() int { return len(i.held) - max(int(i.width)-i.onCores, 0) }
@@ -309,6 +302,9 @@
 	b := &i.bands[it.Band]
 	run, whole := i.expected(it)
 	payoff := b.payoff
+	if it.Repeat {
+		payoff *= again
+	}
 	if it.beyond {
 		payoff *= i.num("over_share_payoff", 1)
 	}
@@ -329,16 +325,20 @@
 	return payoff / max(run, 1e-4)
 }
 
+func (i *Instance) byDensity(now time.Duration) func(a, b int) int {
+	return func(a, b int) int { return cmp.Compare(i.density(now, a), i.density(now, b)) }
+}
+
 // turnBack ends a work item that has not run, at once, with advice on when to come back.
 func (i *Instance) turnBack(now time.Duration, w int, no bool) {
 	it := &i.items[w]
 	pause := time.Duration(0)
-	if v, given := i.told["come_back"].(bool); !given || v {
-		clear := 50*ms + time.Duration(float64(max(i.waiting(), 0))/i.width*i.bands[0].latency*1e9)
+	if i.told["come_back"] != false {
+		wait := float64(max(i.waiting(), 0)) / i.width * i.bands[0].latency
+		clear := time.Duration(max(0.05+wait, i.jam()*i.num("come_back_s", 0)) * 1e9)
 		if i.leaving {
 			clear = time.Hour
 		}
-		clear = max(clear, time.Duration(i.jam()*float64(i.span("come_back_s", 0))))
 		pause = min(time.Duration(float64(clear)*(0.75+0.5*i.random())), i.span("come_back_s", 0))
 	}
 	i.turned++
@@ -485,12 +485,7 @@
 
 func (i *Instance) serveCalls(now time.Duration) {
 	for len(i.standing) > 0 {
-		w, most := -1, -1.0
-		for _, x := range i.standing {
-			if d := i.density(now, x); d > most {
-				w, most = x, d
-			}
-		}
+		w := slices.MaxFunc(i.standing, i.byDensity(now))
 		it := &i.items[w]
 		b := &i.bands[it.Band]
 		stopped := i.fails >= failures && (now < i.nextTrial || i.calls > 0)
@@ -549,11 +544,9 @@
 		i.resume(now, w)
 		return
 	}
-	if i.fails++; i.fails >= failures {
-		if i.fails == failures {
-			i.host.Log("calls stopped: %d failed in a row", i.fails)
-		}
-		i.nextTrial = now + trialGap
+	i.nextTrial = now + trialGap
+	if i.fails++; i.fails == failures {
+		i.host.Log("calls stopped: %d failed in a row", i.fails)
 	}
 	it.callTime += now - it.since
 	i.stand(now, w)
@@ -680,9 +673,7 @@
 	i.limit = max(i.limit, 0.5)
 	i.sum, i.count = [2]float64{0, i.sum[0]}, [2]float64{0, i.count[0]}
 	was := i.flag
-	if i.lag > i.limit {
-		i.crossings++
-	} else {
+	if i.crossings++; i.lag <= i.limit {
 		i.crossings = 0
 	}
 	i.flag = i.crossings >= dampening
