Newcomers worth more displace the least held where memory is short

Told from overload by the gauge of memory and by refusals without the flag. Now one share of 0.95 holds for all, less what the starts still open need, and the least of the held goes first. Covers large work items and long windows; harms if sizes told at reading are too small.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,8 +25,7 @@
 	shedGain   = 0.3      // part of the share turned back that the free value takes over a period
 	margin     = 40 * ms  // answers leave so long before they are due
 	leastFit   = 0.8      // part of its expected run that must fit before the due time
-	fillHold   = 0.70     // share of memory up to which work is held,
-	fillRun    = 0.90     // and up to which it is started
+	fill       = 0.95     // share of memory that is used
 	again      = 0.25     // payoff of a marked repeat: much of its time is used up already
 	crowdPart  = 0.75     // share of the survived crowd that is used
 	jamFrom    = 0.15     // wait before reading, as a part of the due time, at which a jam begins,
@@ -84,7 +83,7 @@
 
 	cores, onCores, calls  int
 	crossings, fails       int
-	memory, ram            float64
+	memory, ram, size      float64    // size: kilobytes of a held work item, lately
 	width, callWidth       float64    // how many run, how many calls are out
 	sum, count             [2]float64 // latency ratios of ended starts: this period's, the last's
 	unread, turnedShare    float64    // recent wait before reading, seconds; share turned back lately
@@ -177,6 +176,7 @@
 	it.due = min(it.due, i.stopAt)
 	it.use = min(it.arrived+b.due-margin, it.due)
 	it.beyond = i.overShare(now, work)
+	learn(&i.size, work.KB, 15)
 	learn(&i.unread, work.Waited.Seconds(), 3)
 	switch first := work.Forerunner; {
 	case first == NoForerunner:
@@ -192,15 +192,17 @@
 		i.host.Join(w)
 		return
 	}
-	late := it.arrived > i.grace
-	switch {
-	case late || now >= it.due-margin || !i.fits(work.KB+i.receiptKB(it), fillHold):
+	if late := it.arrived > i.grace; late || now >= it.due-margin {
 		i.turnBack(now, w, !late)
 		return
-	case i.flag && i.waiting() > 0:
-		// The cached flag refuses at entry. Departure: the flag is blind to payoff, so the least
-		// of the held goes in place of a newcomer that is worth more.
-		least := slices.MinFunc(i.held, i.byDensity(now))
+	}
+	// The cached flag refuses at entry. Departure: the flag is blind to payoff, so the least of the
+	// held goes in place of a newcomer that is worth more. So it does where keys fill the memory.
+	for full := i.flag && i.waiting() > 0; full || !i.fits(i.receiptKB(it)+i.reserve()); full = false {
+		least := w
+		if len(i.held) > 0 {
+			least = slices.MinFunc(i.held, i.byDensity(now))
+		}
 		if i.density(now, least) >= i.density(now, w) {
 			least = w
 		}
@@ -267,7 +269,12 @@
 	return false
 }
 
-func (i *Instance) fits(kb, part float64) bool { return i.memory+kb <= part*i.ram }
+func (i *Instance) fits(kb float64) bool { return i.memory+kb <= fill*i.ram }
+
+// reserve is the memory that the starts still open need, so that held work can't block them.
+func (i *Instance) reserve() float64 {
+	return float64(max(int(i.width)-i.onCores, 1)) * i.size * (i.num("run_memory", 1) - 1)
+}
 
 // room is how many more may start now. The survived crowd is the ceiling, with those at calls
 // counted since they all may come back at once.
@@ -366,7 +373,7 @@
 	if it.state == held || it.state == joined {
 		return it.KB
 	}
-	return it.KB * max(i.num("run_memory", 1), 1)
+	return it.KB * i.num("run_memory", 1)
 }
 
 func without[T comparable](list []T, x T) []T {
@@ -389,7 +396,7 @@
 				continue
 			}
 			it := &i.items[w]
-			if i.blocked(it) || !i.fits(it.KB*(max(i.num("run_memory", 1), 1)-1), fillRun) {
+			if i.blocked(it) || !i.fits(it.KB*(i.num("run_memory", 1)-1)) {
 				continue
 			}
 			if d > most || d == most && it.use <= i.items[best].use {
