--- a/policy/policy.go
+++ b/policy/policy.go
@@ -198,7 +198,9 @@
 	}
 	// The cached flag refuses at entry. Departure: the flag is blind to payoff, so the least of the
 	// held goes in place of a newcomer that is worth more. So it does where keys fill the memory.
-	for full := i.flag && i.waiting() > 0; full || !i.fits(i.receiptKB(it)+i.reserve()); full = false {
+	// The memory that the starts still open need is left free, or held work would block them.
+	need := i.receiptKB(it) + float64(max(int(i.width)-i.onCores, 1))*i.size*(i.num("run_memory", 1)-1)
+	for full := i.flag && i.waiting() > 0; full || !i.fits(need); full = false {
 		least := w
 		if len(i.held) > 0 {
 			least = slices.MinFunc(i.held, i.byDensity(now))
@@ -271,11 +273,6 @@
 
 func (i *Instance) fits(kb float64) bool { return i.memory+kb <= fill*i.ram }
 
-// reserve is the memory that the starts still open need, so that held work can't block them.
-func (i *Instance) reserve() float64 {
-	return float64(max(int(i.width)-i.onCores, 1)) * i.size * (i.num("run_memory", 1) - 1)
-}
-
 // room is how many more may start now. The survived crowd is the ceiling, with those at calls
 // counted since they all may come back at once.
 func (i *Instance) room(now time.Duration) int {
@@ -386,6 +383,8 @@
 // Settle starts work and issues calls, once all that came in together has been told.
 func (i *Instance) Settle(now time.Duration) {
 	i.serveCalls(now)
+	// While calls are stopped, one that can't do without may stand there for a trial.
+	stopped := i.fails >= failures && i.calls+len(i.standing) > 0
 	for i.room(now) > 0 && len(i.held) > 0 {
 		best, most := -1, 0.0
 		for n := len(i.held) - 1; n >= 0; n-- {
@@ -396,7 +395,8 @@
 				continue
 			}
 			it := &i.items[w]
-			if i.blocked(it) || !i.fits(it.KB*(i.num("run_memory", 1)-1)) {
+			b := &i.bands[it.Band]
+			if stopped && b.calls && b.poorer == 0 || !i.fits(it.KB*(i.num("run_memory", 1)-1)) {
 				continue
 			}
 			if d > most || d == most && it.use <= i.items[best].use {
@@ -416,12 +416,6 @@
 	}
 }
 
-// blocked: calls have stopped and the band can't do without them; one may stand there for a trial.
-func (i *Instance) blocked(it *item) bool {
-	b := &i.bands[it.Band]
-	return i.fails >= failures && b.calls && b.poorer == 0 && i.calls+len(i.standing) > 0
-}
-
 // Ended is the end of a run or of a join.
 func (i *Instance) Ended(now time.Duration, w int, o Outcome, took time.Duration) {
 	it := &i.items[w]
@@ -477,12 +471,10 @@
 
 // AtCall: a run stands at a call.
 func (i *Instance) AtCall(now time.Duration, w int) {
-	it := &i.items[w]
-	if it.state != running {
-		return
+	if i.items[w].state == running {
+		i.onCores--
+		i.stand(now, w)
 	}
-	i.onCores--
-	i.stand(now, w)
 }
 
 func (i *Instance) stand(now time.Duration, w int) {
@@ -494,11 +486,10 @@
 	for len(i.standing) > 0 {
 		w := slices.MaxFunc(i.standing, i.byDensity(now))
 		it := &i.items[w]
-		b := &i.bands[it.Band]
 		stopped := i.fails >= failures && (now < i.nextTrial || i.calls > 0)
 		full := float64(i.calls+len(i.lingering)) >= i.callWidth || now < i.nextCall
 		switch {
-		case stopped && b.poorer > 0:
+		case stopped && i.bands[it.Band].poorer > 0:
 			i.resume(now, w)
 			i.host.LeaveOut(w)
 			continue
