--- a/policy/policy.go
+++ b/policy/policy.go
@@ -340,7 +340,7 @@
 	if i.told["come_back"] != false {
 		wait := float64(max(i.waiting(), 0)) / i.width * i.bands[0].latency
 		clear := time.Duration(max(0.05+wait, i.jam()*i.num("come_back_s", 0)) * 1e9)
-		if i.leaving {
+		if now > i.grace-period {
 			clear = time.Hour
 		}
 		pause = min(time.Duration(float64(clear)*(0.75+0.5*i.random())), i.span("come_back_s", 0))
@@ -640,7 +640,7 @@
 			i.scrap(now, w)
 		}
 	}
-	i.say()
+	i.say(now)
 	if i.waiting() > 0 {
 		i.waited++
 	}
@@ -712,10 +712,10 @@
 }
 
 // say sets the value that rides on all answers, so that callers keep at home what would be refused.
-func (i *Instance) say() {
+func (i *Instance) say(now time.Duration) {
 	value, kind := max(i.shed, i.jam()), i.word("free_value", "off")
-	if i.leaving {
-		value = 1
+	if now > i.grace-period {
+		value = 1 // until then it serves what comes
 	}
 	if math.Abs(value-i.said) < 0.01 {
 		return
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -249,11 +249,11 @@
 	i, b := fresh(map[string]any{"free_value": "threshold"})
 	i.shed, i.flag = 0.5, true
 	i.adjust()
-	i.say()
+	i.say(0)
 	b.wants(t, 1, "free 0.400")
 	i.turned, i.missed, i.read = 10, 10, 20
 	i.adjust()
-	i.say()
+	i.say(0)
 	b.wants(t, 1, "free 0.490")
 }
 
