What is held over a period counts in lag too

Covers any order that starves; harms when a band is held on purpose (calls stopped): it then raises the flag. Tests for the jam, the free value, memory, leaving and cut-off runs.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -223,15 +223,12 @@
 
 // record enters a receipt before the run, so that a repeat of a held one is known too.
 func (i *Instance) record(now time.Duration, it *item, w int) {
-	if i.receiptKB(it) == 0 {
-		return
-	}
 	b := &i.bands[it.Band]
 	life := i.span("fresh_s", 0)
 	if b.kind == "receipted" {
 		life = it.arrived + b.window + 2*margin - now
 	}
-	if life <= 0 {
+	if i.receiptKB(it) == 0 || life <= 0 {
 		return
 	}
 	i.dropReceipt(it)
@@ -471,17 +468,13 @@
 
 // AtCall: a run stands at a call.
 func (i *Instance) AtCall(now time.Duration, w int) {
-	if i.items[w].state == running {
+	if it := &i.items[w]; it.state == running {
 		i.onCores--
-		i.stand(now, w)
+		it.state, it.since = atCall, now
+		i.standing = append(i.standing, w)
 	}
 }
 
-func (i *Instance) stand(now time.Duration, w int) {
-	i.items[w].state, i.items[w].since = atCall, now
-	i.standing = append(i.standing, w)
-}
-
 func (i *Instance) serveCalls(now time.Duration) {
 	for len(i.standing) > 0 {
 		w := slices.MaxFunc(i.standing, i.byDensity(now))
@@ -534,27 +527,26 @@
 	}
 	i.callOver(now, it, o == TimedOut || o == Reset || o == Unclear)
 	b := &i.bands[it.Band]
+	i.resume(now, w)
 	if o == OK {
 		if i.fails >= failures {
 			i.host.Log("calls back after a trial of %v", took)
 		}
 		i.fails = 0
-		i.resume(now, w)
 		return
 	}
 	i.nextTrial = now + trialGap
 	if i.fails++; i.fails == failures {
 		i.host.Log("calls stopped: %d failed in a row", i.fails)
 	}
-	it.callTime += now - it.since
-	i.stand(now, w)
-	switch {
-	case it.answered:
-		i.halt(it, w)
-	case b.poorer > 0:
-		i.resume(now, w)
+	if !it.answered && b.poorer > 0 {
 		i.host.LeaveOut(w)
-	case b.kind != "pure" && !o.NeverRan() || now >= it.use:
+		return
+	}
+	i.AtCall(now, w)
+	if it.answered {
+		i.halt(it, w)
+	} else if b.kind != "pure" && !o.NeverRan() || now >= it.use {
 		i.scrap(now, w)
 	}
 }
@@ -660,6 +652,12 @@
 			sum += i.ratio(now, it)
 			n++
 		}
+		if it.state == held && now-it.arrived > period {
+			// Departure: the hold's order lets the rich start at once, so starts alone look well
+			// while the rest starves. What waits longer than a period counts with its wait so far.
+			sum += 1 + (now-it.arrived).Seconds()/i.bands[it.Band].base
+			n++
+		}
 	}
 	i.lag = max(sum/max(n, 1)-1, 0)
 	i.limit = -1
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -266,3 +266,79 @@
 	b.wants(t, 1, "start 0")
 	b.wants(t, 1, "back 1")
 }
+
+func TestStarvedHoldCountsInLag(t *testing.T) {
+	i, _ := fresh(nil)
+	busy(i, 0, 3)
+	i.bands[0].base = 0.1
+	i.items[0].began, i.items[1].began = -time.Hour, -time.Hour
+	i.judge(600*ms, Gauges{Busy: -1})
+	if i.lag < 5.9 || i.lag > 6.1 {
+		t.Errorf("lag %v, want 6: three held for 600 ms over 100", i.lag)
+	}
+}
+
+func TestJamBeforeReadingTellsCallersAtOnce(t *testing.T) {
+	i, b := fresh(map[string]any{"free_value": "threshold"})
+	i.unread = 0.5
+	i.Tick(sweepGap, Gauges{Busy: -1})
+	b.wants(t, 1, "free 1.000")
+	if got := i.room(0); got != 1 {
+		t.Errorf("%d may start in a full jam, want half of two", got)
+	}
+}
+
+func TestFreeValueIgnoresWhatHeedingCallersKeepAtHome(t *testing.T) {
+	i, _ := fresh(map[string]any{"free_value": "threshold"})
+	i.flag, i.shed = true, 0.5
+	low, high := of(0), of(0)
+	low.Rank, high.Rank = 0.2, 0.7
+	i.Arrived(0, 0, low)
+	i.Arrived(0, 1, high)
+	i.turnBack(0, 0, false)
+	i.turnBack(0, 1, false)
+	if i.turned != 2 || i.missed != 1 {
+		t.Errorf("%d turned back, %d missed, want 2 and 1", i.turned, i.missed)
+	}
+}
+
+func TestNewcomerWorthMoreDisplacesWhereMemoryIsShort(t *testing.T) {
+	i, b := fresh(map[string]any{"memory_kb": 140.0})
+	busy(i, 0, 4)
+	b.wants(t, 0, "back")
+	i.Arrived(0, 9, of(2))
+	b.wants(t, 1, "back 2")
+	b.wants(t, 0, "back 9")
+}
+
+func TestCutOffRunsAreLearned(t *testing.T) {
+	i, _ := fresh(nil)
+	busy(i, 0, 0)
+	before := i.bands[0].latency
+	i.scrap(900*ms, 0)
+	if i.bands[0].latency <= before {
+		t.Errorf("expected run still %v s", before)
+	}
+}
+
+func TestIdleServerTriesALongGuess(t *testing.T) {
+	i, b := fresh(nil)
+	i.bands[0].perHint = 1
+	long := of(0)
+	long.Hint = 5 * time.Second
+	i.Arrived(0, 0, long)
+	i.Settle(0)
+	b.wants(t, 1, "start 0")
+	i.Arrived(0, 1, long)
+	i.Settle(0)
+	b.wants(t, 1, "back 1")
+}
+
+func TestLeavingServerServesUntilItsGraceEnds(t *testing.T) {
+	i, b := fresh(map[string]any{"free_value": "threshold"})
+	i.Leave(0, 5*time.Second)
+	i.Tick(100*ms, Gauges{Busy: -1})
+	b.wants(t, 0, "free")
+	i.Tick(600*ms, Gauges{Busy: -1})
+	b.wants(t, 1, "free 1.000")
+}
