--- a/policy/policy.go
+++ b/policy/policy.go
@@ -81,8 +81,8 @@
 	lingering []time.Duration // ends of calls given up; emptied by time
 	chance    uint64
 
-	cores, onCores, calls  int
-	crossings, fails       int
+	cores, onCores, calls, crossings, fails int
+
 	memory, ram, size      float64    // size: kilobytes of a held work item, lately
 	width, callWidth       float64    // how many run, how many calls are out
 	sum, count             [2]float64 // latency ratios of ended starts: this period's, the last's
@@ -90,7 +90,7 @@
 	read, turned, missed   int        // in this period, as are the runs done and the Ticks
 	done, waited           int        // that found work waiting for a start
 	lag, limit, shed, said float64    // limit: the threshold of lag
-	flag, leaving          bool
+	flag, jammed, leaving  bool
 	nextTrial, nextCall    time.Duration
 	nextSample, wanted     time.Duration
 	grace, stopAt          time.Duration
@@ -99,7 +99,7 @@
 // New makes the instance of a server that has just started.
 func New(h Host, seed uint64, told map[string]any) *Instance {
 	i := &Instance{host: h, told: told, chance: seed&0xffffffff | 1<<32, stopAt: math.MaxInt64,
-		grace: math.MaxInt64}
+		grace: math.MaxInt64, nextSample: period, wanted: sweepGap}
 	i.cores = int(min(max(i.num("cores", 1), 1), 4096))
 	i.width = float64(i.cores)
 	i.ram = max(i.num("memory_kb", 1e6), 1)
@@ -123,7 +123,6 @@
 		rate := i.num(fmt.Sprintf("customer.%d.share_per_s", n), 0) / max(i.num("fleet", 1), 1)
 		i.customers = append(i.customers, customer{rate, 2 * rate, 0})
 	}
-	i.nextSample, i.wanted = period, sweepGap
 	h.Health(true, true)
 	h.Wake(i.wanted)
 	return i
@@ -678,10 +677,9 @@
 			i.flag, i.lag, len(i.held), i.onCores, i.width, i.shed)
 	}
 	i.adjust()
-	switch busy := g.Busy; {
-	case busy >= 0 && busy < 0.9 && i.waiting() > 0 && i.done > 0:
+	if g.Busy >= 0 && g.Busy < 0.9 && i.waiting() > 0 && i.done > 0 {
 		i.width = min(i.width+1, float64(i.ceiling(now)))
-	case busy >= 0.97:
+	} else if g.Busy >= 0.97 {
 		i.width = max(i.width-1, float64(i.cores))
 	}
 	if i.read > 0 {
@@ -711,6 +709,10 @@
 
 // say sets the value that rides on all answers, so that callers keep at home what would be refused.
 func (i *Instance) say(now time.Duration) {
+	if full := i.jam() > 0.5; full != i.jammed {
+		i.jammed = full
+		i.host.Log("jam %v: %.2f s unread", full, i.unread)
+	}
 	value, kind := max(i.shed, i.jam()), i.word("free_value", "off")
 	if now > i.grace-period {
 		value = 1 // until then it serves what comes
