--- a/policy/policy.go
+++ b/policy/policy.go
@@ -319,10 +319,11 @@
 		}
 		payoff *= chance
 	}
-	if i.word("payoff_by", "request") == "work" {
-		return payoff
+	if i.word("payoff_by", "request") != "work" {
+		payoff /= max(run, 1e-4)
 	}
-	return payoff / max(run, 1e-4)
+	// To the nearest power of two: a guess is no better, and nearly equal bands must not starve each other.
+	return math.Exp2(math.Round(math.Log2(max(payoff, 0))))
 }
 
 func (i *Instance) byDensity(now time.Duration) func(a, b int) int {
