--- a/policy/policy.go
+++ b/policy/policy.go
@@ -156,9 +156,7 @@
 
 // Arrived takes a work item that has been read. Everything that can be decided is decided here.
 func (i *Instance) Arrived(now time.Duration, w int, work Work) {
-	for len(i.items) <= w {
-		i.items = append(i.items, item{})
-	}
+	i.items = append(i.items, make([]item, max(w+1-len(i.items), 0))...)
 	it := &i.items[w]
 	*it = item{Work: work, state: held, arrived: now - work.Waited}
 	i.memory += work.KB
