Refuse in the measure of a jam before reading

Cause: on slow servers where no free value is offered nothing was refused while the jam grew, so the advice reached nobody before what waited unread outlived its callers.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -197,7 +197,7 @@
 	// held goes in place of a newcomer that is worth more. So it does where keys fill the memory.
 	// The memory that the starts still open need is left free, or held work would block them.
 	need := i.receiptKB(it) + float64(max(int(i.width)-i.onCores, 1))*i.size*(i.num("run_memory", 1)-1)
-	for full := i.flag && i.waiting() > 0; full || !i.fits(need); full = false {
+	for full := i.flag && i.waiting() > 0 || i.random() < i.jam(); full || !i.fits(need); full = false {
 		least := w
 		if len(i.held) > 0 {
 			least = slices.MinFunc(i.held, i.byDensity(now))
