--- a/policy/policy.go
+++ b/policy/policy.go
@@ -205,8 +205,7 @@
 		if i.density(now, least) >= i.density(now, w) {
 			least = w
 		}
-		// Another server would not help what has been elsewhere already, nor when so much is turned
-		// back here that the load must be everywhere.
+		// No other server helps what was elsewhere already, nor where so much is turned back here.
 		i.turnBack(now, least, i.items[least].Repeat || i.turnedShare > everywhere)
 		if least == w {
 			return
@@ -630,6 +629,9 @@
 			i.scrap(now, w)
 		}
 	}
+	if g.Runnable >= 0 && g.Runnable-float64(i.onCores) < float64(i.cores) {
+		i.unread *= 0.9 // a core is free to read, so nothing waits unread
+	}
 	i.say(now)
 	if i.waiting() > 0 {
 		i.waited++
@@ -700,8 +702,7 @@
 	i.shed = min(max(i.shed, 0), 0.95)
 }
 
-// jam is 0 to 1: how near the wait before reading is to what makes all answers come too late. Past
-// that nobody hears a refusal any more, so the callers must be told while it grows.
+// jam is 0 to 1: how near the wait before reading is to making all answers late and so unheard.
 func (i *Instance) jam() float64 {
 	return min(max((i.unread/i.bands[0].due.Seconds()-jamFrom)/(jamFull-jamFrom), 0), 1)
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -281,7 +281,7 @@
 func TestJamBeforeReadingTellsCallersAtOnce(t *testing.T) {
 	i, b := fresh(map[string]any{"free_value": "threshold"})
 	i.unread = 0.5
-	i.Tick(sweepGap, Gauges{Busy: -1})
+	i.Tick(sweepGap, Gauges{Busy: -1, Runnable: -1})
 	b.wants(t, 1, "free 1.000")
 	if got := i.room(0); got != 1 {
 		t.Errorf("%d may start in a full jam, want half of two", got)
@@ -342,3 +342,27 @@
 	i.Tick(600*ms, Gauges{Busy: -1})
 	b.wants(t, 1, "free 1.000")
 }
+
+func TestJamEndsWhenACoreIsFreeToRead(t *testing.T) {
+	i, _ := fresh(nil)
+	i.unread = 1
+	i.Tick(sweepGap, Gauges{Busy: -1, Runnable: 2})
+	if i.unread != 1 {
+		t.Error("jam fades though both cores read")
+	}
+	i.Tick(2*sweepGap, Gauges{Busy: -1, Runnable: 1})
+	if i.unread >= 1 {
+		t.Error("jam stays though a core is free to read")
+	}
+}
+
+func TestNearlyEqualBandsAreEqual(t *testing.T) {
+	i, _ := fresh(nil)
+	i.bands[0].latency, i.bands[1].latency = 0.25, 0.26
+	i.bands[1].payoff = 1
+	i.Arrived(0, 0, of(0))
+	i.Arrived(0, 1, of(1))
+	if a, b := i.density(0, 0), i.density(0, 1); a != b {
+		t.Errorf("densities %v and %v", a, b)
+	}
+}
