--- a/policy/policy.go
+++ b/policy/policy.go
@@ -324,7 +324,10 @@
 }
 
 func (i *Instance) byDensity(now time.Duration) func(a, b int) int {
-	return func(a, b int) int { return cmp.Compare(i.density(now, a), i.density(now, b)) }
+	return func(a, b int) int { // of equal ones the newer is the less
+		return cmp.Or(cmp.Compare(i.density(now, a), i.density(now, b)),
+			cmp.Compare(i.items[b].arrived, i.items[a].arrived))
+	}
 }
 
 // turnBack ends a work item that has not run, at once, with advice on when to come back.
