--- a/policy/policy.go
+++ b/policy/policy.go
@@ -148,7 +148,7 @@
 
 func (i *Instance) flagged(name string) bool { return i.told[name] == true }
 
-// random is a multiply-with-carry generator: 0 to under 1.
+// random is a multiply-with-carry generator, 0 to under 1.
 func (i *Instance) random() float64 {
 	i.chance = (i.chance&0xffffffff)*4294957665 + i.chance>>32
 	return float64(i.chance&0xffffffff) / (1 << 32)
@@ -193,18 +193,12 @@
 		i.turnBack(now, w, !late)
 		return
 	}
-	// The cached flag refuses at entry. Departure: the flag is blind to payoff, so the least of the
-	// held goes in place of a newcomer that is worth more. So it does where keys fill the memory.
+	// The cached flag refuses at entry. Departure, as it is blind to payoff: the least of the held
+	// goes in place of a newcomer worth more. So it does in a jam, and where memory is short.
 	// The memory that the starts still open need is left free, or held work would block them.
 	need := i.receiptKB(it) + float64(max(int(i.width)-i.onCores, 1))*i.size*(i.num("run_memory", 1)-1)
 	for full := i.flag && i.waiting() > 0 || i.random() < i.jam(); full || !i.fits(need); full = false {
-		least := w
-		if len(i.held) > 0 {
-			least = slices.MinFunc(i.held, i.byDensity(now))
-		}
-		if i.density(now, least) >= i.density(now, w) {
-			least = w
-		}
+		least := slices.MinFunc(append([]int{w}, i.held...), i.byDensity(now))
 		// No other server helps what was elsewhere already, nor where so much is turned back here.
 		i.turnBack(now, least, i.items[least].Repeat || i.turnedShare > everywhere)
 		if least == w {
@@ -236,10 +230,10 @@
 
 func (i *Instance) receiptKB(it *item) float64 {
 	kind, shared := i.bands[it.Band].kind, it.Subject && i.num("fresh_s", 0) > 0
-	if kind == "receipted" || kind == "pure" && shared {
-		return max(i.num("receipt_kb", 0), 0.001)
+	if kind != "receipted" && (kind != "pure" || !shared) {
+		return 0
 	}
-	return 0
+	return max(i.num("receipt_kb", 0), 0.001)
 }
 
 func (i *Instance) dropReceipt(it *item) {
@@ -377,7 +371,7 @@
 	return list
 }
 
-// Settle starts work and issues calls, once all that came in together has been told.
+// Settle starts work and issues calls once all that came in together has been told.
 func (i *Instance) Settle(now time.Duration) {
 	i.serveCalls(now)
 	// While calls are stopped, one that can't do without may stand there for a trial.
@@ -553,8 +547,7 @@
 
 // scrap answers a work item that has run; what is on the cores goes on unless it can be stopped.
 func (i *Instance) scrap(now time.Duration, w int) {
-	it := &i.items[w]
-	b := &i.bands[it.Band]
+	it, b := &i.items[w], &i.bands[i.items[w].Band]
 	i.sample(now, it)
 	if took := (now - it.began).Seconds(); took > b.span {
 		learn(&b.latency, max(took-it.callTime.Seconds(), b.latency), 16) // a run cut off took at least so long
@@ -656,8 +649,7 @@
 			n++
 		}
 		if it.state == held && now-it.arrived > period {
-			// Departure: the hold's order lets the rich start at once, so starts alone look well
-			// while the rest starves. What waits longer than a period counts with its wait so far.
+			// Departure: the hold's order lets the rich start at once, and starts hide that the rest starves.
 			sum += 1 + (now-it.arrived).Seconds()/i.bands[it.Band].base
 			n++
 		}
