Calls far slower than they were are left out where they can be

Told from crowded cores by the calls' own time; from failures in a row, which come too late when calls hang. Over 6 times their least time, bands that can do without leave calls out but for a single trial. Covers a dependency that slows, hangs or turns calls away; harms when the least was learned in a lucky spell: poorer answers then come too soon.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,6 +31,7 @@
 	jamFrom    = 0.15     // wait before reading, as a part of the due time, at which a jam begins,
 	jamFull    = 0.5      // and at which nothing more should be sent
 	stall      = 100 * ms // a Tick so late tells of a standstill
+	callSlow   = 6.0      // times their least that calls take when they are left out where they can be
 	failures   = 5        // calls failed in a row before they stop
 	trialGap   = 500 * ms // between single trials
 )
@@ -83,17 +84,18 @@
 
 	cores, onCores, calls, crossings, fails int
 
-	memory, ram, size      float64    // size: kilobytes of a held work item, lately
-	width, callWidth       float64    // how many run, how many calls are out
-	sum, count             [2]float64 // latency ratios of ended starts: this period's, the last's
-	unread, turnedShare    float64    // recent wait before reading, seconds; share turned back lately
-	read, turned, missed   int        // in this period, as are the runs done and the Ticks
-	done, waited           int        // that found work waiting for a start
-	lag, limit, shed, said float64    // limit: the threshold of lag
-	flag, jammed, leaving  bool
-	nextTrial, nextCall    time.Duration
-	nextSample, wanted     time.Duration
-	grace, stopAt          time.Duration
+	memory, ram, size             float64    // size: kilobytes of a held work item, lately
+	callTook, callBase, callsSeen float64    // calls' recent time, the least seen, seconds
+	width, callWidth              float64    // how many run, how many calls are out
+	sum, count                    [2]float64 // latency ratios of ended starts: this period's, the last's
+	unread, turnedShare           float64    // recent wait before reading, seconds; share turned back lately
+	read, turned, missed          int        // in this period, as are the runs done and the Ticks
+	done, waited                  int        // that found work waiting for a start
+	lag, limit, shed, said        float64    // limit: the threshold of lag
+	flag, jammed, leaving         bool
+	nextTrial, nextCall           time.Duration
+	nextSample, wanted            time.Duration
+	grace, stopAt                 time.Duration
 }
 
 // New makes the instance of a server that has just started.
@@ -469,20 +471,25 @@
 	}
 }
 
+// serveCalls issues the calls that may be out. While calls fail or take far longer than they did, bands
+// that can do without leave them out, but for a trial, so that the rest finds room below.
 func (i *Instance) serveCalls(now time.Duration) {
+	down, trial := i.fails >= failures, i.calls == 0 && now >= i.nextTrial
+	if (down || i.callTook > callSlow*i.callBase) && !trial {
+		for _, w := range slices.Clone(i.standing) {
+			if i.bands[i.items[w].Band].poorer > 0 {
+				i.resume(now, w)
+				i.host.LeaveOut(w)
+			}
+		}
+	}
 	for len(i.standing) > 0 {
-		w := slices.MaxFunc(i.standing, i.byDensity(now))
-		it := &i.items[w]
-		stopped := i.fails >= failures && (now < i.nextTrial || i.calls > 0)
 		full := float64(i.calls+len(i.lingering)) >= i.callWidth || now < i.nextCall
-		switch {
-		case stopped && i.bands[it.Band].poorer > 0:
-			i.resume(now, w)
-			i.host.LeaveOut(w)
-			continue
-		case stopped || full:
+		if full || down && (i.calls > 0 || now < i.nextTrial) {
 			return
 		}
+		w := slices.MaxFunc(i.standing, i.byDensity(now))
+		it := &i.items[w]
 		i.standing = without(i.standing, w)
 		it.state = calling
 		i.calls++
@@ -522,6 +529,10 @@
 	i.callOver(now, it, o == TimedOut || o == Reset || o == Unclear)
 	b := &i.bands[it.Band]
 	i.resume(now, w)
+	learn(&i.callTook, took.Seconds(), i.callsSeen)
+	if i.callsSeen++; i.callsSeen <= 8 || i.callTook < i.callBase {
+		i.callBase = i.callTook
+	}
 	if o == OK {
 		if i.fails >= failures {
 			i.host.Log("calls back after a trial of %v", took)
@@ -568,14 +579,10 @@
 // CallerGone: nobody waits for this work item any more, so no answer is owed.
 func (i *Instance) CallerGone(now time.Duration, w int) {
 	it := &i.items[w]
-	switch it.state {
-	case held, joined:
+	if it.state == held || it.state == joined {
 		i.drop(w)
-	case running, atCall, calling:
-		it.answered = true
-		if i.bands[it.Band].kind == "pure" || it.state == atCall {
-			i.halt(it, w)
-		}
+	} else if it.answered = true; i.bands[it.Band].kind == "pure" || it.state == atCall {
+		i.halt(it, w)
 	}
 }
 
@@ -616,12 +623,10 @@
 			if late || i.density(now, w) <= 0 {
 				i.turnBack(now, w, true)
 			}
-		case it.state == joined:
-			if late {
-				i.host.Scrap(w)
-				i.drop(w)
-			}
-		case late || worthless && i.word("stop_mode", "off") == "abort":
+		case it.state == joined && late:
+			i.host.Scrap(w)
+			i.drop(w)
+		case it.state != joined && (late || worthless && i.word("stop_mode", "off") == "abort"):
 			i.scrap(now, w)
 		}
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -366,3 +366,23 @@
 		t.Errorf("densities %v and %v", a, b)
 	}
 }
+
+func TestSlowCallsAreLeftOutWhereTheyCanBe(t *testing.T) {
+	i, b := fresh(map[string]any{"band.0.poorer": 0.6})
+	i.callBase, i.callTook, i.calls, i.onCores = 0.01, 0.1, 1, 0
+	i.Arrived(0, 0, of(0))
+	i.Arrived(0, 1, of(1))
+	i.Settle(0)
+	i.AtCall(0, 0)
+	i.AtCall(0, 1)
+	i.Settle(0)
+	b.wants(t, 1, "omit 0")
+	b.wants(t, 1, "call 1")
+}
+
+func TestJammedServerRefusesThoughNothingWaits(t *testing.T) {
+	i, b := fresh(nil)
+	i.unread = 10
+	i.Arrived(0, 0, of(0))
+	b.wants(t, 1, "back 0")
+}
