Repeats must not fill the memory

Found by reading: repeats joined to a forerunner were let in whatever memory they took. Now they are answered with an error where they don't fit, since what may have run is never turned back.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -150,8 +150,7 @@
 
 func (i *Instance) flagged(name string) bool { return i.told[name] == true }
 
-// random is a multiply-with-carry generator, 0 to under 1.
-func (i *Instance) random() float64 {
+func (i *Instance) random() float64 { // by multiply with carry, 0 to under 1
 	i.chance = (i.chance&0xffffffff)*4294957665 + i.chance>>32
 	return float64(i.chance&0xffffffff) / (1 << 32)
 }
@@ -182,14 +181,17 @@
 	case first >= 0 && first < len(i.items) && i.items[first].state == held && !i.items[first].ran:
 		// A caller that asks again has given up on the try still held: the newer takes its place.
 		it.use = min(it.due, i.items[first].use)
-		it.receiptEnds = i.items[first].receiptEnds
-		i.items[first].receiptEnds = 0
+		it.receiptEnds, i.items[first].receiptEnds = i.items[first].receiptEnds, 0
 		i.record(now, it, w)
 		i.turnBack(now, first, false)
-	default:
+	case i.fits(0):
 		it.state = joined
 		i.host.Join(w)
 		return
+	default: // repeats must not fill the memory, and what may have run is never turned back
+		i.host.Scrap(w)
+		i.drop(w)
+		return
 	}
 	if late := it.arrived > i.grace; late || now >= it.due-margin {
 		i.turnBack(now, w, !late)
@@ -444,8 +446,7 @@
 
 func learn(mean *float64, x, seen float64) { *mean += (x - *mean) / min(seen+1, 16) }
 
-// sample counts a start's latency toward the period in which it began.
-func (i *Instance) sample(now time.Duration, it *item) {
+func (i *Instance) sample(now time.Duration, it *item) { // toward the period in which it began
 	age := int((i.nextSample - it.began - 1) / period)
 	if age < 2 {
 		i.sum[age] += i.ratio(now, it)
@@ -497,8 +498,7 @@
 	}
 }
 
-// resume puts a work item that stood at a call back on the cores.
-func (i *Instance) resume(now time.Duration, w int) {
+func (i *Instance) resume(now time.Duration, w int) { // from a call, back on the cores
 	it := &i.items[w]
 	i.standing = without(i.standing, w)
 	it.callTime += now - it.since
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -386,3 +386,12 @@
 	i.Arrived(0, 0, of(0))
 	b.wants(t, 1, "back 0")
 }
+
+func TestRepeatsDoNotFillTheMemory(t *testing.T) {
+	i, b := fresh(nil)
+	i.memory = 949
+	i.Arrived(0, 0, Work{Band: 1, KB: 10, Forerunner: GoneForerunner})
+	b.wants(t, 0, "join 0")
+	b.wants(t, 0, "back 0")
+	b.wants(t, 1, "scrap 0")
+}
