--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -155,7 +155,7 @@
 		if err != nil {
 			return err
 		}
-		g := policy.Gauges{Busy: -1, Runnable: -1, Memory: -1, Sockets: -1}
+		g := policy.Gauges{Busy: -1, Runnable: -1}
 		for i, name := range h.gauges {
 			if i >= len(row) {
 				break
@@ -165,10 +165,6 @@
 				g.Busy = row[i]
 			case "runnable":
 				g.Runnable = row[i]
-			case "mem_used":
-				g.Memory = row[i]
-			case "sockets":
-				g.Sockets = row[i]
 			}
 		}
 		h.mod.Tick(now, g)
@@ -343,26 +339,22 @@
 var names = map[string]string{
 	"domain.cores": "cores", "domain.ram_kb": "memory_kb", "domain.blowup": "run_memory",
 	"domain.entry_kb": "receipt_kb", "domain.fresh_s": "fresh_s", "domain.halt": "stop_mode",
-	"domain.say": "free_value", "domain.cold": "cold", "domain.depends_on": "below",
-	"domain.dep_share": "calls_share", "domain.dep_window_s": "calls_window_s",
-	"domain.linger_s": "calls_linger_s", "domain.caller_idle_s": "idle_s",
-	"domain.clients_total": "callers", "domain.cancel_seen": "tells_gone",
-	"domain.passes_deadline": "tells_patience", "callers.marks_retry": "marks_repeats",
+	"domain.say": "free_value", "domain.cold": "cold", "domain.clients_total": "callers",
+	"domain.depends_on": "below", "domain.dep_share": "calls_share", "domain.linger_s": "calls_linger_s",
 	"fleet_size": "fleet", "over_share_worth": "over_share_payoff", "worth_by": "payoff_by",
 	"policy_limits.max_retry_after_s": "come_back_s", "policy_limits.retry_after": "come_back",
-	"rules.answer_slack_s": "slack_s", "rules.cold_from": "cold_from", "rules.warm_after_s": "warm_s",
-	"rules.drain_grace_s": "grace_s", "rules.fall_multiple": "crowd", "rules.overload_for_s": "crowd_s",
-	"tick_s": "tick_s", "charges.handshake": "handshake_price",
+	"rules.cold_from": "cold_from", "rules.warm_after_s": "warm_s", "rules.drain_grace_s": "grace_s",
+	"rules.fall_multiple": "crowd",
 }
 
 var bandNames = map[string]string{
 	"aim_s": "due_s", "deadline_s": "patience_s", "late_value": "late_payoff", "repeat": "kind",
-	"window_s": "window_s", "worth": "payoff", "aim_stretch": "due_stretch",
+	"window_s": "window_s", "worth": "payoff",
 }
 
 var kinds = map[any]string{"repeatable": "pure", "by_key": "receipted", "once": "effectful"}
 
-var customerNames = map[string]string{"quota_per_s": "share_per_s", "fraction": "fraction"}
+var customerNames = map[string]string{"quota_per_s": "share_per_s"}
 
 func (h *host) say(name string, pairs ...any) { h.out = wire.Line(h.out, name, pairs...) }
 
@@ -381,9 +373,8 @@
 func (h *host) Record(w int, life time.Duration) {
 	h.say("RECORD_KEY", "ticket", h.ticket[w], "for_time_s", life)
 }
-func (h *host) Health(good, stored bool)      { h.say("FITNESS", "stored", stored, "on", good) }
-func (h *host) Free(value float64)            { h.say("SIGNAL", "value", value) }
-func (h *host) CloseIdle(after time.Duration) { h.say("IDLE", "for_time_s", after) }
+func (h *host) Health(good, stored bool) { h.say("FITNESS", "stored", stored, "on", good) }
+func (h *host) Free(value float64)       { h.say("SIGNAL", "value", value) }
 func (h *host) Wake(at time.Duration) {
 	h.say("NOTIFY_ME", "alarm_time_s", h.start+at, "ref", uint64(1))
 }
--- a/policy/host.go
+++ b/policy/host.go
@@ -16,7 +16,6 @@
 	Join(w int)                                      // answer a repeat from its forerunner's result
 	Health(good, stored bool)                        // how health checks are answered
 	Free(value float64)                              // the value that rides on all answers
-	CloseIdle(after time.Duration)                   // close connections idle for so long
 	Wake(at time.Duration)                           // ask for one Tick at this time
 	Release(w int)                                   // the module is done with this index
 	Log(format string, args ...any)                  // one line to the operators
@@ -61,4 +60,4 @@
 func (o Outcome) NeverRan() bool { return o == Full || o == ConnectFailed || o == Moot }
 
 // Gauges are the machine's own readings; a negative one is not offered.
-type Gauges struct{ Busy, Runnable, Memory, Sockets float64 }
+type Gauges struct{ Busy, Runnable float64 }
