Rejected calls are no fast calls; a default band where none is told

Found by reading: a dependency that turns calls away at once lowered the least call time, so usual calls then looked slow and were left out; and settings without any band made the module panic. Tests for both.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,9 +1,8 @@
 // Package policy decides, inside one server, which work items run, wait or are turned back.
 //
-// The adapter makes one Instance with New and calls one method for each thing that happens
-// (Arrived, Ended, AtCall, Returned, CallerGone, Leave, Tick), then Settle once all that came in
-// together has been told. The instance acts by calling the Host it was given: host.go. Times are
-// spans since its start. docs/design.md says which part is the paper's and where it is departed from.
+// The adapter makes one Instance with New and calls one method for each thing that happens (Arrived, Ended,
+// AtCall, Returned, CallerGone, Leave, Tick), then Settle once all that came in together has been told. It
+// acts through the Host it was given: host.go. Times are spans since the start. Design: docs/design.md.
 package policy
 
 import (
@@ -75,10 +74,10 @@
 	told      map[string]any
 	bands     []band
 	customers []customer
-	items     []item // by index; as long as the most live at one time
-	held      []int  // emptied by a start, a turn-back or the caller's leaving
-	standing  []int  // at a call not out; emptied by the call, its omission or an answer
-	receipts  []time.Duration
+	items     []item          // by index; as long as the most live at one time
+	held      []int           // emptied by a start, a turn-back or the caller's leaving
+	standing  []int           // at a call not out; emptied by the call, its omission or an answer
+	receipts  []time.Duration // ends of those in the key table; emptied by time and by Forget
 	lingering []time.Duration // ends of calls given up; emptied by time
 	chance    uint64
 
@@ -103,15 +102,14 @@
 	i := &Instance{host: h, told: told, chance: seed&0xffffffff | 1<<32, stopAt: math.MaxInt64,
 		grace: math.MaxInt64, nextSample: period, wanted: sweepGap}
 	i.cores = int(min(max(i.num("cores", 1), 1), 4096))
-	i.width = float64(i.cores)
-	i.ram = max(i.num("memory_kb", 1e6), 1)
+	i.width, i.ram = float64(i.cores), max(i.num("memory_kb", 1e6), 1)
 	switch i.callWidth = 1e6; i.word("below", "off") {
 	case "shared":
 		i.callWidth = max(math.Floor(i.num("calls_share", 1)), 1)
 	case "tier":
 		i.callWidth = max(i.num("crowd", 2)*float64(i.cores)*crowdPart, 1)
 	}
-	for n := range int(min(i.num("band.count", 1), 1000)) {
+	for n := range int(min(max(i.num("band.count", 1), 1), 1000)) {
 		at := fmt.Sprintf("band.%d.", n)
 		b := band{kind: i.word(at+"kind", "effectful"), payoff: i.num(at+"payoff", 1),
 			late: i.num(at+"late_payoff", 0), poorer: i.num(at+"poorer", 0),
@@ -529,9 +527,11 @@
 	i.callOver(now, it, o == TimedOut || o == Reset || o == Unclear)
 	b := &i.bands[it.Band]
 	i.resume(now, w)
-	learn(&i.callTook, took.Seconds(), i.callsSeen)
-	if i.callsSeen++; i.callsSeen <= 8 || i.callTook < i.callBase {
-		i.callBase = i.callTook
+	if o == OK || o == TimedOut { // what is turned away at once tells nothing of the time a call takes
+		learn(&i.callTook, took.Seconds(), i.callsSeen)
+		if i.callsSeen++; i.callsSeen <= 8 || i.callTook < i.callBase {
+			i.callBase = i.callTook
+		}
 	}
 	if o == OK {
 		if i.fails >= failures {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -387,6 +387,26 @@
 	b.wants(t, 1, "back 0")
 }
 
+func TestCallsTurnedAwayAtOnceAreNoFastCalls(t *testing.T) {
+	i, _ := fresh(nil)
+	i.callsSeen, i.callTook, i.callBase = 20, 0.1, 0.1
+	busy(i, 0, 0)
+	i.AtCall(0, 0)
+	i.Settle(0)
+	i.Returned(ms, 0, Full, ms)
+	if i.callBase != 0.1 {
+		t.Errorf("least call time fell to %v s", i.callBase)
+	}
+}
+
+func TestNoBandsTold(t *testing.T) {
+	b := &book{}
+	i := New(b, 0, map[string]any{"band.count": 0.0})
+	i.Tick(sweepGap, Gauges{Busy: -1})
+	i.Arrived(sweepGap, 0, of(0))
+	b.wants(t, 0, "back 0")
+}
+
 func TestRepeatsDoNotFillTheMemory(t *testing.T) {
 	i, b := fresh(nil)
 	i.memory = 949
