Drop a dead field and a loop that stood for an if

Found by reading the whole change once more: the module wrote but never read that it is leaving (the cut due times and the grace say it), and the adapter looped over instances to use the first.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -113,9 +113,8 @@
 
 // fault tells the bench that the module has panicked, and ends the work.
 func (s *server) fault(cause string) error {
-	for _, h := range s.touched {
-		s.out.Write(wire.Line(nil, "ON_BEHALF", "instance", h.id))
-		break
+	if len(s.touched) > 0 {
+		s.out.Write(wire.Line(nil, "ON_BEHALF", "instance", s.touched[0].id))
 	}
 	s.out.Write(wire.Line(nil, "INTERNAL_ERROR", "text", cause))
 	s.out.WriteString("FINISHED\n")
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -91,7 +91,7 @@
 	read, turned, missed          int        // in this period, as are the runs done and the Ticks
 	done, waited                  int        // that found work waiting for a start
 	lag, limit, shed, said        float64    // limit: the threshold of lag
-	flag, jammed, leaving         bool
+	flag, jammed                  bool
 	nextTrial, nextCall           time.Duration
 	nextSample, wanted            time.Duration
 	grace, stopAt                 time.Duration
@@ -588,7 +588,7 @@
 
 // Leave: this server stops after left; all that it has read must be answered before.
 func (i *Instance) Leave(now, left time.Duration) {
-	i.leaving, i.stopAt = true, now+left-3*sweepGap-margin
+	i.stopAt = now + left - 3*sweepGap - margin
 	i.grace = now + i.span("grace_s", 0) - margin
 	for w := range i.items {
 		it := &i.items[w]
