Calls are metered as a mean over the told window, not spaced from when work stood

A share between whole numbers was rounded down. Also covers any slow spell below; harms only if all servers save up at once, which the kept-back tenth pays for.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,6 +33,8 @@
 	callSlow   = 6.0      // times their least that calls take when they are left out where they can be
 	failures   = 5        // calls failed in a row before they stop
 	trialGap   = 500 * ms // between single trials
+	savedCalls = 0.1      // part of a window's share of calls that may be saved up
+	leastShare = 0.001    // of calls, where less is told
 )
 
 type state uint8
@@ -83,18 +85,17 @@
 
 	cores, onCores, calls, crossings, fails int
 
-	memory, ram, size             float64    // size: kilobytes of a held work item, lately
+	memory, ram, size, width      float64    // size: kilobytes of a held work item, lately; width: how many run
 	callTook, callBase, callsSeen float64    // calls' recent time, the least seen, seconds
-	width, callWidth              float64    // how many run, how many calls are out
+	callShare, overCalled         float64    // calls out in the mean, and call-seconds used beyond it
 	sum, count                    [2]float64 // latency ratios of ended starts: this period's, the last's
 	unread, turnedShare           float64    // recent wait before reading, seconds; share turned back lately
 	read, turned, missed          int        // in this period, as are the runs done and the Ticks
 	done, waited                  int        // that found work waiting for a start
 	lag, limit, shed, said        float64    // limit: the threshold of lag
 	flag, jammed                  bool
-	nextTrial, nextCall           time.Duration
-	nextSample, wanted            time.Duration
-	grace, stopAt                 time.Duration
+	nextTrial, nextSample, wanted time.Duration
+	metered, grace, stopAt        time.Duration
 }
 
 // New makes the instance of a server that has just started.
@@ -103,18 +104,18 @@
 		grace: math.MaxInt64, nextSample: period, wanted: sweepGap}
 	i.cores = int(min(max(i.num("cores", 1), 1), 4096))
 	i.width, i.ram = float64(i.cores), max(i.num("memory_kb", 1e6), 1)
-	switch i.callWidth = 1e6; i.word("below", "off") {
+	switch i.callShare = 1e6; i.word("below", "off") {
 	case "shared":
-		i.callWidth = max(math.Floor(i.num("calls_share", 1)), 1)
+		i.callShare = max(i.num("calls_share", 1), leastShare)
 	case "tier":
-		i.callWidth = max(i.num("crowd", 2)*float64(i.cores)*crowdPart, 1)
+		i.callShare = max(math.Floor(i.num("crowd", 2)*float64(i.cores)*crowdPart), 1)
 	}
 	for n := range int(min(max(i.num("band.count", 1), 1), 1000)) {
 		at := fmt.Sprintf("band.%d.", n)
 		b := band{kind: i.word(at+"kind", "effectful"), payoff: i.num(at+"payoff", 1),
 			late: i.num(at+"late_payoff", 0), poorer: i.num(at+"poorer", 0),
 			due: i.span(at+"due_s", 1), patience: i.span(at+"patience_s", 2),
-			window: i.span(at+"window_s", 10), calls: i.flagged(at + "calls")}
+			window: i.span(at+"window_s", 10), calls: i.told[at+"calls"] == true}
 		b.latency = max(b.due.Seconds()/4, 1e-3) // until some have ended
 		b.base, b.span = b.latency, b.latency
 		i.bands = append(i.bands, b)
@@ -146,8 +147,6 @@
 	return otherwise
 }
 
-func (i *Instance) flagged(name string) bool { return i.told[name] == true }
-
 func (i *Instance) random() float64 { // by multiply with carry, 0 to under 1
 	i.chance = (i.chance&0xffffffff)*4294957665 + i.chance>>32
 	return float64(i.chance&0xffffffff) / (1 << 32)
@@ -232,10 +231,10 @@
 
 func (i *Instance) receiptKB(it *item) float64 {
 	kind, shared := i.bands[it.Band].kind, it.Subject && i.num("fresh_s", 0) > 0
-	if kind != "receipted" && (kind != "pure" || !shared) {
-		return 0
+	if kind == "receipted" || kind == "pure" && shared {
+		return max(i.num("receipt_kb", 0), 0.001)
 	}
-	return max(i.num("receipt_kb", 0), 0.001)
+	return 0
 }
 
 func (i *Instance) dropReceipt(it *item) {
@@ -270,7 +269,7 @@
 
 func (i *Instance) ceiling(now time.Duration) int {
 	warm := 1.0
-	if span := i.span("warm_s", 0); i.flagged("cold") && now < span {
+	if span := i.span("warm_s", 0); i.told["cold"] == true && now < span {
 		from := min(i.num("cold_from", 0.2), 1)
 		warm = from + (1-from)*now.Seconds()/span.Seconds()
 	}
@@ -291,8 +290,7 @@
 
 // density is payoff over expected work; 0 for what can't be of use any more.
 func (i *Instance) density(now time.Duration, w int) float64 {
-	it := &i.items[w]
-	b := &i.bands[it.Band]
+	it, b := &i.items[w], &i.bands[i.items[w].Band]
 	run, whole := i.expected(it)
 	payoff := b.payoff
 	if it.Repeat {
@@ -387,8 +385,7 @@
 				i.turnBack(now, w, true)
 				continue
 			}
-			it := &i.items[w]
-			b := &i.bands[it.Band]
+			it, b := &i.items[w], &i.bands[i.items[w].Band]
 			if stopped && b.calls && b.poorer == 0 || !i.fits(it.KB*(i.num("run_memory", 1)-1)) {
 				continue
 			}
@@ -401,9 +398,8 @@
 		}
 		it := &i.items[best]
 		i.held = without(i.held, best)
-		i.memory -= i.kb(it)
+		i.memory += it.KB * (i.num("run_memory", 1) - 1)
 		it.state, it.ran, it.began, it.wait = running, true, now, now-it.arrived
-		i.memory += i.kb(it)
 		i.onCores++
 		i.host.Start(best)
 	}
@@ -418,7 +414,7 @@
 	case running:
 		i.onCores--
 	case calling:
-		i.callOver(now, it, true)
+		i.callOver(now, true)
 	}
 	if !it.answered && it.state != joined {
 		i.sample(now, it)
@@ -482,8 +478,11 @@
 			}
 		}
 	}
+	i.meter(now)
 	for len(i.standing) > 0 {
-		full := float64(i.calls+len(i.lingering)) >= i.callWidth || now < i.nextCall
+		// What the share holds beyond whole calls is out only that part of the time, the mean over the window.
+		out := float64(i.calls + len(i.lingering))
+		full := out >= i.callShare || out+1 > i.callShare && i.overCalled > 0
 		if full || down && (i.calls > 0 || now < i.nextTrial) {
 			return
 		}
@@ -499,33 +498,35 @@
 func (i *Instance) resume(now time.Duration, w int) { // from a call, back on the cores
 	it := &i.items[w]
 	i.standing = without(i.standing, w)
-	it.callTime += now - it.since
-	it.state = running
+	it.callTime, it.state = it.callTime+now-it.since, running
 	i.onCores++
 }
 
 // callOver books a call that is out no longer; a call given up stays below for a while.
-func (i *Instance) callOver(now time.Duration, it *item, given bool) {
+func (i *Instance) callOver(now time.Duration, given bool) {
+	i.meter(now)
 	i.calls--
-	linger := time.Duration(0)
 	if given {
-		linger = i.span("calls_linger_s", 0)
-		i.lingering = append(i.lingering, now+linger)
-	}
-	if share := i.num("calls_share", 1); i.word("below", "off") == "shared" && share < 1 {
-		// Under one: a single call is out only that share of the time.
-		i.nextCall = now + time.Duration(float64(now-it.since+linger)*(1/max(share, 1e-3)-1)) + linger
+		i.lingering = append(i.lingering, now+i.span("calls_linger_s", 0))
 	}
 }
 
+// meter keeps the call-seconds used beyond the share. A part of a window's share may be saved up and is
+// kept back from the rest, so that no window holds more than its share.
+func (i *Instance) meter(now time.Duration) {
+	used := float64(i.calls+len(i.lingering)) - (1-savedCalls)*i.callShare
+	least := -savedCalls * i.callShare * i.span("calls_window_s", 1).Seconds()
+	i.overCalled = max(i.overCalled+used*(now-i.metered).Seconds(), least)
+	i.metered = now
+}
+
 // Returned is the end of a call.
 func (i *Instance) Returned(now time.Duration, w int, o Outcome, took time.Duration) {
 	it := &i.items[w]
 	if it.state != calling {
 		return
 	}
-	i.callOver(now, it, o == TimedOut || o == Reset || o == Unclear)
-	b := &i.bands[it.Band]
+	i.callOver(now, o == TimedOut || o == Reset || o == Unclear)
 	i.resume(now, w)
 	if o == OK || o == TimedOut { // what is turned away at once tells nothing of the time a call takes
 		learn(&i.callTook, took.Seconds(), i.callsSeen)
@@ -544,6 +545,7 @@
 	if i.fails++; i.fails == failures {
 		i.host.Log("calls stopped: %d failed in a row", i.fails)
 	}
+	b := &i.bands[it.Band]
 	if !it.answered && b.poorer > 0 {
 		i.host.LeaveOut(w)
 		return
@@ -571,7 +573,7 @@
 
 func (i *Instance) halt(it *item, w int) {
 	i.standing = without(i.standing, w)
-	if mode := i.word("stop_mode", "off"); it.state == running && mode == "abort" {
+	if it.state == running && i.told["stop_mode"] == "abort" {
 		i.host.Stop(w)
 	}
 }
@@ -608,6 +610,7 @@
 	i.wanted = now + sweepGap
 	i.host.Wake(i.wanted)
 	past := func(end time.Duration) bool { return end <= now }
+	i.meter(now)
 	kept := len(i.receipts)
 	i.receipts, i.lingering = slices.DeleteFunc(i.receipts, past), slices.DeleteFunc(i.lingering, past)
 	i.memory -= float64(kept-len(i.receipts)) * i.num("receipt_kb", 0)
@@ -616,8 +619,7 @@
 		if it.state == absent || it.answered {
 			continue
 		}
-		late := now >= it.due-margin
-		worthless := now >= it.use && i.bands[it.Band].late == 0
+		late, worthless := now >= it.due-margin, now >= it.use && i.bands[it.Band].late == 0
 		switch {
 		case it.state == held:
 			if late || i.density(now, w) <= 0 {
@@ -626,7 +628,7 @@
 		case it.state == joined && late:
 			i.host.Scrap(w)
 			i.drop(w)
-		case it.state != joined && (late || worthless && i.word("stop_mode", "off") == "abort"):
+		case it.state != joined && (late || worthless && i.told["stop_mode"] == "abort"):
 			i.scrap(now, w)
 		}
 	}
@@ -646,7 +648,7 @@
 // judge takes the sample of lag: the mean latency ratio of what started in the last two periods,
 // what still runs counting with its time so far, and at least its base.
 func (i *Instance) judge(now time.Duration, g Gauges) {
-	sum, n := i.sum[0]+i.sum[1], i.count[0]+i.count[1]
+	was, sum, n := i.flag, i.sum[0]+i.sum[1], i.count[0]+i.count[1]
 	for w := range i.items {
 		it := &i.items[w]
 		if it.state >= running && it.state != joined && !it.answered && it.began >= now-2*period {
@@ -668,12 +670,10 @@
 	}
 	i.limit = max(i.limit, 0.5)
 	i.sum, i.count = [2]float64{0, i.sum[0]}, [2]float64{0, i.count[0]}
-	was := i.flag
 	if i.crossings++; i.lag <= i.limit {
 		i.crossings = 0
 	}
-	i.flag = i.crossings >= dampening
-	if i.flag != was {
+	if i.flag = i.crossings >= dampening; i.flag != was {
 		i.host.Log("shedding %v: lag %.2f, %d held, %d on cores, width %.0f, shed %.2f",
 			i.flag, i.lag, len(i.held), i.onCores, i.width, i.shed)
 	}
@@ -713,14 +713,14 @@
 		i.jammed = full
 		i.host.Log("jam %v: %.2f s unread", full, i.unread)
 	}
-	value, kind := max(i.shed, i.jam()), i.word("free_value", "off")
+	value := max(i.shed, i.jam())
 	if now > i.grace-period {
 		value = 1 // until then it serves what comes
 	}
 	if math.Abs(value-i.said) < 0.01 {
 		return
 	}
-	switch i.said = value; kind {
+	switch i.said = value; i.word("free_value", "off") {
 	case "threshold":
 		i.host.Free(value)
 	case "share_of":
