A band's first runs weigh against its first guess; the no-help word comes sooner

Cause: the base latency followed the first run that ended, so lag read 3 to 817 in the first second with nothing held (all three grown deployments). The first guess now weighs as three runs. The no-help word comes from a share turned back of 0.05 instead of 0.15: in a large fleet a refused item walks on through a twenty-fifth of the list, each stop costing a read. Harms where one server alone is slow and refuses what others could do; they are told so once it turns back little.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -18,7 +18,7 @@
 	sweepGap   = 20 * ms  // between two Ticks
 	period     = 500 * ms // between two samples of lag
 	duePart    = 0.4      // of the bands' due times, in base latencies: lag over it is a crossing
-	everywhere = 0.15     // share turned back over which other servers are taken to be no better off
+	everywhere = 0.05     // share turned back over which other servers are taken to be no better off
 	baseDrift  = 0.003    // a base latency's way back to the recent one, a period
 	dampening  = 2        // crossings in a row before the flag goes up
 	shedGain   = 0.3      // part of the share turned back that the free value takes over a period
@@ -422,8 +422,8 @@
 			i.done++
 			b := &i.bands[it.Band]
 			run := max((took - it.callTime).Seconds(), 1e-4)
-			learn(&b.latency, run, b.ended)
-			learn(&b.span, took.Seconds(), b.ended)
+			learn(&b.latency, run, b.ended+3)
+			learn(&b.span, took.Seconds(), b.ended+3)
 			if it.Hint > 0 {
 				learn(&b.perHint, run/it.Hint.Seconds(), b.ended)
 			}
