Idle connections close sooner the more room the cores have

A new idle time binds a connection only from its next use, so steps that wait for a full table come too late; the time now follows the square of how busy the cores were lately. Covers any full table of idle connections; harms where connections are dear and demand comes in waves, as a calm server lets go what it soon needs again.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -339,7 +339,8 @@
 	"domain.cores": "cores", "domain.ram_kb": "memory_kb", "domain.blowup": "run_memory",
 	"domain.entry_kb": "receipt_kb", "domain.fresh_s": "fresh_s", "domain.halt": "stop_mode",
 	"domain.say": "free_value", "domain.cold": "cold", "domain.clients_total": "callers",
-	"domain.depends_on": "below", "domain.dep_share": "calls_share", "domain.linger_s": "calls_linger_s",
+	"domain.caller_idle_s": "idle_s",
+	"domain.depends_on":    "below", "domain.dep_share": "calls_share", "domain.linger_s": "calls_linger_s",
 	"domain.dep_window_s": "calls_window_s",
 	"fleet_size":          "fleet", "over_share_worth": "over_share_payoff", "worth_by": "payoff_by",
 	"policy_limits.max_retry_after_s": "come_back_s", "policy_limits.retry_after": "come_back",
@@ -374,6 +375,7 @@
 	h.say("RECORD_KEY", "ticket", h.ticket[w], "for_time_s", life)
 }
 func (h *host) Health(good, stored bool) { h.say("FITNESS", "stored", stored, "on", good) }
+func (h *host) Idle(after time.Duration) { h.say("IDLE", "for_time_s", after) }
 func (h *host) Free(value float64)       { h.say("SIGNAL", "value", value) }
 func (h *host) Wake(at time.Duration) {
 	h.say("NOTIFY_ME", "alarm_time_s", h.start+at, "ref", uint64(1))
--- a/policy/helper_test.go
+++ b/policy/helper_test.go
@@ -26,6 +26,7 @@
 func (b *book) Forget(w int)                     { b.put("forget %d", w) }
 func (b *book) Join(w int)                       { b.put("join %d", w) }
 func (b *book) Health(good, stored bool)         { b.put("health %v", good) }
+func (b *book) Idle(after time.Duration)         { b.put("idle %v", after) }
 func (b *book) Free(v float64)                   { b.put("free %.3f", v) }
 func (b *book) Wake(at time.Duration)            {}
 func (b *book) Release(w int)                    { b.put("release %d", w) }
--- a/policy/host.go
+++ b/policy/host.go
@@ -15,6 +15,7 @@
 	Forget(w int)                                    // take the receipt out
 	Join(w int)                                      // answer a repeat from its forerunner's result
 	Health(good, stored bool)                        // how health checks are answered
+	Idle(after time.Duration)                        // close connections idle for so long
 	Free(value float64)                              // the value that rides on all answers
 	Wake(at time.Duration)                           // ask for one Tick at this time
 	Release(w int)                                   // the module is done with this index
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,6 +33,7 @@
 	callSlow   = 6.0      // times their least that calls take when they are left out where they can be
 	failures   = 5        // calls failed in a row before they stop
 	trialGap   = 500 * ms // between single trials
+	leastIdle  = 0.1      // part of the callers' own time after which idle connections may close
 	savedCalls = 0.1      // part of a window's share of calls that may be saved up
 	leastShare = 0.001    // of calls, where less is told
 )
@@ -65,10 +66,7 @@
 	base, latency, span, perHint, ended float64 // seconds: least seen, recent run less calls, recent run
 }
 
-type customer struct {
-	rate, tokens float64
-	seen         time.Duration
-}
+type customer struct{ rate, tokens, seen float64 }
 
 // Instance is the decisions of one server.
 type Instance struct {
@@ -89,13 +87,13 @@
 	callTook, callBase, callsSeen float64    // calls' recent time, the least seen, seconds
 	callShare, overCalled         float64    // calls out in the mean, and call-seconds used beyond it
 	sum, count                    [2]float64 // latency ratios of ended starts: this period's, the last's
-	unread, turnedShare           float64    // recent wait before reading, seconds; share turned back lately
+	busy, unread, turnedShare     float64    // recent wait before reading, seconds; share turned back lately
 	read, turned, missed          int        // in this period, as are the runs done and the Ticks
 	done, waited                  int        // that found work waiting for a start
 	lag, limit, shed, said        float64    // limit: the threshold of lag
 	flag, jammed                  bool
 	nextTrial, nextSample, wanted time.Duration
-	metered, grace, stopAt        time.Duration
+	metered, grace, stopAt, idle  time.Duration
 }
 
 // New makes the instance of a server that has just started.
@@ -104,7 +102,7 @@
 		grace: math.MaxInt64, nextSample: period, wanted: sweepGap}
 	i.cores = int(min(max(i.num("cores", 1), 1), 4096))
 	i.width, i.ram = float64(i.cores), max(i.num("memory_kb", 1e6), 1)
-	switch i.callShare = 1e6; i.word("below", "off") {
+	switch i.callShare = 1e6; i.told["below"] {
 	case "shared":
 		i.callShare = max(i.num("calls_share", 1), leastShare)
 	case "tier":
@@ -112,10 +110,10 @@
 	}
 	for n := range int(min(max(i.num("band.count", 1), 1), 1000)) {
 		at := fmt.Sprintf("band.%d.", n)
-		b := band{kind: i.word(at+"kind", "effectful"), payoff: i.num(at+"payoff", 1),
-			late: i.num(at+"late_payoff", 0), poorer: i.num(at+"poorer", 0),
-			due: i.span(at+"due_s", 1), patience: i.span(at+"patience_s", 2),
-			window: i.span(at+"window_s", 10), calls: i.told[at+"calls"] == true}
+		b := band{payoff: i.num(at+"payoff", 1), late: i.num(at+"late_payoff", 0),
+			poorer: i.num(at+"poorer", 0), due: i.span(at+"due_s", 1),
+			patience: i.span(at+"patience_s", 2), window: i.span(at+"window_s", 10), calls: i.told[at+"calls"] == true}
+		b.kind, _ = i.told[at+"kind"].(string)   // what is no kind told here is as good as effectful
 		b.latency = max(b.due.Seconds()/4, 1e-3) // until some have ended
 		b.base, b.span = b.latency, b.latency
 		i.bands = append(i.bands, b)
@@ -140,13 +138,6 @@
 	return time.Duration(min(i.num(name, otherwise), 1e9) * 1e9)
 }
 
-func (i *Instance) word(name, otherwise string) string {
-	if x, ok := i.told[name].(string); ok {
-		return x
-	}
-	return otherwise
-}
-
 func (i *Instance) random() float64 { // by multiply with carry, 0 to under 1
 	i.chance = (i.chance&0xffffffff)*4294957665 + i.chance>>32
 	return float64(i.chance&0xffffffff) / (1 << 32)
@@ -250,8 +241,8 @@
 		return false
 	}
 	c := &i.customers[work.Customer]
-	c.tokens = min(c.tokens+c.rate*(now-c.seen).Seconds(), 2*c.rate)
-	c.seen = now
+	c.tokens = min(c.tokens+c.rate*(now.Seconds()-c.seen), 2*c.rate)
+	c.seen = now.Seconds()
 	if c.tokens < 1 {
 		return true
 	}
@@ -278,21 +269,14 @@
 
 func (i *Instance) waiting() int { return len(i.held) - max(int(i.width)-i.onCores, 0) }
 
-// expected is the run that a work item likely needs, calls included.
-func (i *Instance) expected(it *item) (run, whole float64) {
-	b := &i.bands[it.Band]
-	run = b.latency
-	if it.Hint > 0 && b.perHint > 0 {
-		run = it.Hint.Seconds() * b.perHint
-	}
-	return run, run + max(b.span-b.latency, 0)
-}
-
 // density is payoff over expected work; 0 for what can't be of use any more.
 func (i *Instance) density(now time.Duration, w int) float64 {
 	it, b := &i.items[w], &i.bands[i.items[w].Band]
-	run, whole := i.expected(it)
-	payoff := b.payoff
+	payoff, run := b.payoff, b.latency // run: what it likely needs, and whole with its calls
+	if it.Hint > 0 && b.perHint > 0 {
+		run = it.Hint.Seconds() * b.perHint
+	}
+	whole := run + max(b.span-b.latency, 0)
 	if it.Repeat {
 		payoff *= again
 	}
@@ -310,7 +294,7 @@
 		}
 		payoff *= chance
 	}
-	if i.word("payoff_by", "request") != "work" {
+	if i.told["payoff_by"] != "work" {
 		payoff /= max(run, 1e-4)
 	}
 	// To the nearest power of two: a guess is no better, and nearly equal bands must not starve each other.
@@ -326,8 +310,7 @@
 
 // turnBack ends a work item that has not run, at once, with advice on when to come back.
 func (i *Instance) turnBack(now time.Duration, w int, no bool) {
-	it := &i.items[w]
-	pause := time.Duration(0)
+	it, pause := &i.items[w], time.Duration(0)
 	if i.told["come_back"] != false {
 		wait := float64(max(i.waiting(), 0)) / i.width * i.bands[0].latency
 		clear := time.Duration(max(0.05+wait, i.jam()*i.num("come_back_s", 0)) * 1e9)
@@ -678,6 +661,7 @@
 			i.flag, i.lag, len(i.held), i.onCores, i.width, i.shed)
 	}
 	i.adjust()
+	i.doors(g)
 	if g.Busy >= 0 && g.Busy < 0.9 && i.waiting() > 0 && i.done > 0 {
 		i.width = min(i.width+1, float64(i.ceiling(now)))
 	} else if g.Busy >= 0.97 {
@@ -702,6 +686,21 @@
 	i.shed = min(max(i.shed, 0), 0.95)
 }
 
+// doors lets idle connections go sooner the more room the cores have. A full table shuts out callers, new
+// connections cost work: a busy server is spared by its full table, one with room must not be shut by it.
+func (i *Instance) doors(g Gauges) {
+	whole := i.span("idle_s", 0)
+	if g.Busy < 0 || whole <= 0 {
+		return
+	}
+	learn(&i.busy, g.Busy, 3)
+	part := min(max(i.busy*i.busy, leastIdle), 1)
+	if after := time.Duration(part * float64(whole)).Round(time.Second); after != i.idle {
+		i.idle = after
+		i.host.Idle(after)
+	}
+}
+
 // jam is 0 to 1: how near the wait before reading is to making all answers late and so unheard.
 func (i *Instance) jam() float64 {
 	return min(max((i.unread/i.bands[0].due.Seconds()-jamFrom)/(jamFull-jamFrom), 0), 1)
@@ -720,7 +719,7 @@
 	if math.Abs(value-i.said) < 0.01 {
 		return
 	}
-	switch i.said = value; i.word("free_value", "off") {
+	switch i.said = value; i.told["free_value"] {
 	case "threshold":
 		i.host.Free(value)
 	case "share_of":
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -421,3 +421,15 @@
 	b.wants(t, 0, "back 0")
 	b.wants(t, 1, "scrap 0")
 }
+
+func TestIdleConnectionsGoSoonerWhereTheCoresHaveRoom(t *testing.T) {
+	i, b := fresh(map[string]any{"idle_s": 30.0})
+	i.busy = 0.5
+	i.doors(Gauges{Busy: 0.5})
+	b.wants(t, 1, "idle 8s")
+	i.busy = 1
+	i.doors(Gauges{Busy: 1})
+	b.wants(t, 1, "idle 30s")
+	i.doors(Gauges{Busy: -1})
+	b.wants(t, 2, "idle")
+}
