A customer's share can be met at any rate

Cause: the bucket held two seconds of the share and needed a whole item, so a share under one item in two seconds a server could never pay, and near it chance arrivals counted as beyond. Harms: a customer beyond its share by a little is found eight items late on each server.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,6 +34,7 @@
 	failures   = 5        // calls failed in a row before they stop
 	trialGap   = 500 * ms // between single trials
 	leastIdle  = 0.1      // part of the callers' own time after which idle connections may close
+	shareSlack = 8.0      // items of one customer that may come at once, where two seconds' share is less
 	savedCalls = 0.1      // part of a window's share of calls that may be saved up
 	leastShare = 0.001    // of calls, where less is told
 )
@@ -120,7 +121,7 @@
 	}
 	for n := range int(min(i.num("customer.count", 0), 10000)) {
 		rate := i.num(fmt.Sprintf("customer.%d.share_per_s", n), 0) / max(i.num("fleet", 1), 1)
-		i.customers = append(i.customers, customer{rate, 2 * rate, 0})
+		i.customers = append(i.customers, customer{rate, 0, -1e9})
 	}
 	h.Health(true, true)
 	h.Wake(i.wanted)
@@ -241,7 +242,7 @@
 		return false
 	}
 	c := &i.customers[work.Customer]
-	c.tokens = min(c.tokens+c.rate*(now.Seconds()-c.seen), 2*c.rate)
+	c.tokens = min(c.tokens+c.rate*(now.Seconds()-c.seen), max(2*c.rate, shareSlack))
 	c.seen = now.Seconds()
 	if c.tokens < 1 {
 		return true
@@ -644,8 +645,7 @@
 			n++
 		}
 	}
-	i.lag = max(sum/max(n, 1)-1, 0)
-	i.limit = -1
+	i.lag, i.limit = max(sum/max(n, 1)-1, 0), -1
 	for k := range i.bands {
 		b := &i.bands[k]
 		i.limit += duePart * b.due.Seconds() / b.base / float64(len(i.bands))
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -241,6 +241,7 @@
 func TestCustomerBeyondItsShareComesLast(t *testing.T) {
 	i, b := fresh(map[string]any{"customer.count": 2.0, "customer.0.share_per_s": 1.0, "customer.1.share_per_s": 9.0,
 		"over_share_payoff": 0.05})
+	i.customers[0].seen = 0
 	busy(i, 0, 0)
 	i.Arrived(0, 5, of(0))
 	other := of(0)
@@ -433,3 +434,16 @@
 	i.doors(Gauges{Busy: -1})
 	b.wants(t, 2, "idle")
 }
+
+func TestShareUnderOneItemInTwoSecondsCanBeMet(t *testing.T) {
+	i, _ := fresh(map[string]any{"customer.count": 1.0, "customer.0.share_per_s": 20.0, "fleet": 200.0})
+	for n := range 30 {
+		if i.overShare(time.Duration(n)*10*time.Second, of(0)) {
+			t.Fatalf("item %d at the share counts as beyond it", n)
+		}
+	}
+	i.customers[0].tokens = 0
+	if !i.overShare(291*time.Second, of(0)) {
+		t.Error("an item at ten times the share counts as within it")
+	}
+}
