Calls in hand follow how much of the due time calls take

Cause: the told share is what lies below survives; it slows down long before. Now the part of the share in use shrinks by a fifth a period while calls take over a twentieth of the due time and grows back by a tenth; what can do without a call leaves it out after a twentieth of its due time; none that needs one starts while another stands for its. This replaces the test against the least call time seen, which learns nothing where calls are always slow. Covers any crowded dependency; harms where calls are long by nature, over a twentieth of the due time: then less is out than could be.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,16 +27,19 @@
 	fill       = 0.95     // share of memory that is used
 	again      = 0.25     // payoff of a marked repeat: much of its time is used up already
 	crowdPart  = 0.75     // share of the survived crowd that is used
-	jamFrom    = 0.15     // wait before reading, as a part of the due time, at which a jam begins,
-	jamFull    = 0.5      // and at which nothing more should be sent
 	stall      = 100 * ms // a Tick so late tells of a standstill
-	callSlow   = 6.0      // times their least that calls take when they are left out where they can be
+	callSlow   = 0.05     // part of the due time over which calls are slow
 	failures   = 5        // calls failed in a row before they stop
 	trialGap   = 500 * ms // between single trials
 	leastIdle  = 0.1      // part of the callers' own time after which idle connections may close
+	standPart  = 0.05     // of its due time that what can do without a call stands for it
+	leastCalls = 0.05     // part of the share of calls that is used however slow they are
 	shareSlack = 8.0      // items of one customer that may come at once, where two seconds' share is less
 	savedCalls = 0.1      // part of a window's share of calls that may be saved up
 	leastShare = 0.001    // of calls, where less is told
+
+	jamFrom, jamFull   = 0.15, 0.5 // waits before reading, as parts of the due time: a jam begins, is full
+	callsUp, callsDown = 0.1, 0.8  // what that part grows by a period, and shrinks to while calls are slow
 )
 
 type state uint8
@@ -85,7 +88,7 @@
 	cores, onCores, calls, crossings, fails int
 
 	memory, ram, size, width      float64    // size: kilobytes of a held work item, lately; width: how many run
-	callTook, callBase, callsSeen float64    // calls' recent time, the least seen, seconds
+	callTook, callUse             float64    // calls' recent time, seconds; part of their share in use
 	callShare, overCalled         float64    // calls out in the mean, and call-seconds used beyond it
 	sum, count                    [2]float64 // latency ratios of ended starts: this period's, the last's
 	busy, unread, turnedShare     float64    // recent wait before reading, seconds; share turned back lately
@@ -99,7 +102,7 @@
 
 // New makes the instance of a server that has just started.
 func New(h Host, seed uint64, told map[string]any) *Instance {
-	i := &Instance{host: h, told: told, chance: seed&0xffffffff | 1<<32, stopAt: math.MaxInt64,
+	i := &Instance{host: h, told: told, chance: seed&0xffffffff | 1<<32, stopAt: math.MaxInt64, callUse: 1,
 		grace: math.MaxInt64, nextSample: period, wanted: sweepGap}
 	i.cores = int(min(max(i.num("cores", 1), 1), 4096))
 	i.width, i.ram = float64(i.cores), max(i.num("memory_kb", 1e6), 1)
@@ -160,8 +163,7 @@
 	if work.Patience > 0 {
 		it.due = now + work.Patience
 	}
-	it.due = min(it.due, i.stopAt)
-	it.use = min(it.arrived+b.due-margin, it.due)
+	it.due, it.use = min(it.due, i.stopAt), min(it.arrived+b.due-margin, it.due, i.stopAt)
 	it.beyond = i.overShare(now, work)
 	learn(&i.size, work.KB, 15)
 	learn(&i.unread, work.Waited.Seconds(), 3)
@@ -359,7 +361,7 @@
 func (i *Instance) Settle(now time.Duration) {
 	i.serveCalls(now)
 	// While calls are stopped, one that can't do without may stand there for a trial.
-	stopped := i.fails >= failures && i.calls+len(i.standing) > 0
+	stopped := len(i.standing) > 0 || i.fails >= failures && i.calls > 0
 	for i.room(now) > 0 && len(i.held) > 0 {
 		best, most := -1, 0.0
 		for n := len(i.held) - 1; n >= 0; n-- {
@@ -450,24 +452,23 @@
 	}
 }
 
-// serveCalls issues the calls that may be out. While calls fail or take far longer than they did, bands
-// that can do without leave them out, but for a trial, so that the rest finds room below.
+// serveCalls issues the calls that may be out. While calls fail or take much of a due time, and after a long
+// stand, bands that can do without leave them out, but for a trial, so that the rest finds room below.
 func (i *Instance) serveCalls(now time.Duration) {
 	down, trial := i.fails >= failures, i.calls == 0 && now >= i.nextTrial
-	if (down || i.callTook > callSlow*i.callBase) && !trial {
-		for _, w := range slices.Clone(i.standing) {
-			if i.bands[i.items[w].Band].poorer > 0 {
-				i.resume(now, w)
-				i.host.LeaveOut(w)
-			}
+	spare := (down || i.callTook > callSlow*i.bands[0].due.Seconds()) && !trial
+	for _, w := range slices.Clone(i.standing) {
+		b, stood := &i.bands[i.items[w].Band], now-i.items[w].since
+		if b.poorer > 0 && (spare || stood.Seconds() > standPart*b.due.Seconds()) {
+			i.resume(now, w)
+			i.host.LeaveOut(w)
 		}
 	}
 	i.meter(now)
 	for len(i.standing) > 0 {
 		// What the share holds beyond whole calls is out only that part of the time, the mean over the window.
-		out := float64(i.calls + len(i.lingering))
-		full := out >= i.callShare || out+1 > i.callShare && i.overCalled > 0
-		if full || down && (i.calls > 0 || now < i.nextTrial) {
+		out, share := float64(i.calls+len(i.lingering)), i.callShare*i.callUse
+		if out >= share || out+1 > share && i.overCalled > 0 || down && (i.calls > 0 || now < i.nextTrial) {
 			return
 		}
 		w := slices.MaxFunc(i.standing, i.byDensity(now))
@@ -498,10 +499,9 @@
 // meter keeps the call-seconds used beyond the share. A part of a window's share may be saved up and is
 // kept back from the rest, so that no window holds more than its share.
 func (i *Instance) meter(now time.Duration) {
-	used := float64(i.calls+len(i.lingering)) - (1-savedCalls)*i.callShare
-	least := -savedCalls * i.callShare * i.span("calls_window_s", 1).Seconds()
-	i.overCalled = max(i.overCalled+used*(now-i.metered).Seconds(), least)
-	i.metered = now
+	out, share := float64(i.calls+len(i.lingering)), i.callShare*i.callUse
+	spent := i.overCalled + (out-(1-savedCalls)*share)*(now-i.metered).Seconds()
+	i.overCalled, i.metered = max(spent, -savedCalls*share*i.span("calls_window_s", 1).Seconds()), now
 }
 
 // Returned is the end of a call.
@@ -513,10 +513,7 @@
 	i.callOver(now, o == TimedOut || o == Reset || o == Unclear)
 	i.resume(now, w)
 	if o == OK || o == TimedOut { // what is turned away at once tells nothing of the time a call takes
-		learn(&i.callTook, took.Seconds(), i.callsSeen)
-		if i.callsSeen++; i.callsSeen <= 8 || i.callTook < i.callBase {
-			i.callBase = i.callTook
-		}
+		learn(&i.callTook, took.Seconds(), 7)
 	}
 	if o == OK {
 		if i.fails >= failures {
@@ -662,6 +659,10 @@
 	}
 	i.adjust()
 	i.doors(g)
+	// What lies below is crowded long before it dies: slow calls use less of it, so that more of them end.
+	if i.callUse = min(i.callUse+callsUp, 1); i.callTook > callSlow*i.bands[0].due.Seconds() {
+		i.callUse = max(i.callUse*callsDown, leastCalls)
+	}
 	if g.Busy >= 0 && g.Busy < 0.9 && i.waiting() > 0 && i.done > 0 {
 		i.width = min(i.width+1, float64(i.ceiling(now)))
 	} else if g.Busy >= 0.97 {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -376,7 +376,7 @@
 
 func TestSlowCallsAreLeftOutWhereTheyCanBe(t *testing.T) {
 	i, b := fresh(map[string]any{"band.0.poorer": 0.6})
-	i.callBase, i.callTook, i.calls, i.onCores = 0.01, 0.1, 1, 0
+	i.callTook, i.calls = 0.1, 1
 	i.Arrived(0, 0, of(0))
 	i.Arrived(0, 1, of(1))
 	i.Settle(0)
@@ -387,6 +387,35 @@
 	b.wants(t, 1, "call 1")
 }
 
+func TestSlowCallsUseLessOfTheShare(t *testing.T) {
+	i, _ := fresh(nil)
+	i.callTook = 0.1
+	i.judge(period, Gauges{Busy: -1})
+	if i.callUse < 0.79 || i.callUse > 0.81 {
+		t.Errorf("%v of the share in use, want 0.8", i.callUse)
+	}
+	i.callTook = 0.01
+	i.judge(2*period, Gauges{Busy: -1})
+	if i.callUse < 0.89 || i.callUse > 0.91 {
+		t.Errorf("%v of the share in use, want 0.9", i.callUse)
+	}
+}
+
+func TestLongStandIsLeftOutAndNoFurtherCallerStarts(t *testing.T) {
+	i, b := fresh(map[string]any{"band.0.poorer": 0.6, "calls_share": 1.0})
+	i.calls = 1
+	i.Arrived(0, 0, of(0))
+	i.Settle(0)
+	i.AtCall(0, 0)
+	i.Arrived(0, 1, of(2))
+	i.Settle(40 * ms)
+	b.wants(t, 0, "omit 0")
+	b.wants(t, 0, "start 1")
+	i.Settle(60 * ms)
+	b.wants(t, 1, "omit 0")
+	b.wants(t, 1, "start 1")
+}
+
 func TestJammedServerRefusesThoughNothingWaits(t *testing.T) {
 	i, b := fresh(nil)
 	i.unread = 10
@@ -396,13 +425,13 @@
 
 func TestCallsTurnedAwayAtOnceAreNoFastCalls(t *testing.T) {
 	i, _ := fresh(nil)
-	i.callsSeen, i.callTook, i.callBase = 20, 0.1, 0.1
+	i.callTook = 0.1
 	busy(i, 0, 0)
 	i.AtCall(0, 0)
 	i.Settle(0)
 	i.Returned(ms, 0, Full, ms)
-	if i.callBase != 0.1 {
-		t.Errorf("least call time fell to %v s", i.callBase)
+	if i.callTook != 0.1 {
+		t.Errorf("calls' time fell to %v s", i.callTook)
 	}
 }
 
