--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,11 +28,11 @@
 	again      = 0.25     // payoff of a marked repeat: much of its time is used up already
 	crowdPart  = 0.75     // share of the survived crowd that is used
 	stall      = 100 * ms // a Tick so late tells of a standstill
-	callSlow   = 0.05     // part of the due time over which calls are slow
+	callSlow   = 0.1      // part of the due time over which calls are slow
 	failures   = 5        // calls failed in a row before they stop
 	trialGap   = 500 * ms // between single trials
 	leastIdle  = 0.1      // part of the callers' own time after which idle connections may close
-	standPart  = 0.05     // of its due time that what can do without a call stands for it
+	standPart  = 0.15     // of its due time that what can do without a call stands for it
 	leastCalls = 0.05     // part of the share of calls that is used however slow they are
 	shareSlack = 8.0      // items of one customer that may come at once, where two seconds' share is less
 	savedCalls = 0.1      // part of a window's share of calls that may be saved up
