Tuned figures named among the constants, absurd figures tested

Absurd told figures (fleet, shares, memory, bands, cores, callers) end in one answer an item, by a test.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,8 +38,12 @@
 	savedCalls = 0.1      // part of a window's share of calls that may be saved up
 	leastShare = 0.001    // of calls, where less is told
 
-	jamFrom, jamFull   = 0.15, 0.5 // waits before reading, as parts of the due time: a jam begins, is full
-	callsUp, callsDown = 0.1, 0.8  // what that part grows by a period, and shrinks to while calls are slow
+	shedDown, shedEase, shedMost    = 0.1, 0.03, 0.95 // free value: down a calm period, a light one; most
+	busyRoom, busyFull              = 0.9, 0.97       // cores so busy let one more run, one fewer
+	leastPause, leastLimit, idleTry = 0.05, 0.5, 0.01 // advice, seconds; threshold; chance on an idle server
+	jamFrom, jamFull, jamTold       = 0.15, 0.5, 0.5  // unread waits in due times: begins, full; logged from
+	jamCut, jamFade                 = 0.5, 0.9        // of those that run, in a full jam; wait left a Tick
+	callsUp, callsDown              = 0.1, 0.8        // part of the share: grows by a period, is cut to
 )
 
 type state uint8
@@ -88,12 +92,12 @@
 	cores, onCores, calls, crossings, fails int
 
 	memory, ram, size, width      float64    // size: kilobytes of a held work item, lately; width: how many run
-	callTook, callUse             float64    // calls' recent time, seconds; part of their share in use
-	callShare, overCalled         float64    // calls out in the mean, and call-seconds used beyond it
+	callShare, callUse, callTook  float64    // calls out in the mean, the part in use, their recent time
+	overCalled                    float64    // call-seconds used beyond the share
 	sum, count                    [2]float64 // latency ratios of ended starts: this period's, the last's
-	busy, unread, turnedShare     float64    // recent wait before reading, seconds; share turned back lately
-	read, turned, missed          int        // in this period, as are the runs done and the Ticks
-	done, waited                  int        // that found work waiting for a start
+	busy, unread, turnedShare     float64    // lately: of the cores, wait before reading in seconds, of the read
+	read, turned, missed          int        // in this period, as done (runs) and
+	done, waited                  int        // waited (Ticks that found work waiting for a start)
 	lag, limit, shed, said        float64    // limit: the threshold of lag
 	flag, jammed                  bool
 	nextTrial, nextSample, wanted time.Duration
@@ -258,7 +262,7 @@
 // room is how many more may start now. The survived crowd is the ceiling, with those at calls
 // counted since they all may come back at once.
 func (i *Instance) room(now time.Duration) int {
-	return min(int(i.width*(1-0.5*i.jam()))-i.onCores, i.ceiling(now)-i.onCores-i.calls-len(i.standing))
+	return min(int(i.width*(1-jamCut*i.jam()))-i.onCores, i.ceiling(now)-i.onCores-i.calls-len(i.standing))
 }
 
 func (i *Instance) ceiling(now time.Duration) int {
@@ -293,7 +297,7 @@
 			chance = max(chance, b.late)
 		}
 		if 2*i.onCores < i.cores && it.use > now {
-			chance = max(chance, 0.01) // guesses mislead, and trying costs an idle server nothing
+			chance = max(chance, idleTry) // guesses mislead, and trying costs an idle server nothing
 		}
 		payoff *= chance
 	}
@@ -316,7 +320,7 @@
 	it, pause := &i.items[w], time.Duration(0)
 	if i.told["come_back"] != false {
 		wait := float64(max(i.waiting(), 0)) / i.width * i.bands[0].latency
-		clear := time.Duration(max(0.05+wait, i.jam()*i.num("come_back_s", 0)) * 1e9)
+		clear := time.Duration(max(leastPause+wait, i.jam()*i.num("come_back_s", 0)) * 1e9)
 		if now > i.grace-period {
 			clear = time.Hour
 		}
@@ -338,18 +342,13 @@
 		i.dropReceipt(it)
 	}
 	i.held, i.standing = without(i.held, w), without(i.standing, w)
-	i.memory -= i.kb(it)
+	if i.memory -= it.KB; it.state != held && it.state != joined {
+		i.memory -= it.KB * (i.num("run_memory", 1) - 1)
+	}
 	it.state = absent
 	i.host.Release(w)
 }
 
-func (i *Instance) kb(it *item) float64 {
-	if it.state == held || it.state == joined {
-		return it.KB
-	}
-	return it.KB * i.num("run_memory", 1)
-}
-
 func without[T comparable](list []T, x T) []T {
 	if n := slices.Index(list, x); n >= 0 {
 		return slices.Delete(list, n, n+1)
@@ -360,7 +359,7 @@
 // Settle starts work and issues calls once all that came in together has been told.
 func (i *Instance) Settle(now time.Duration) {
 	i.serveCalls(now)
-	// While calls are stopped, one that can't do without may stand there for a trial.
+	// Of those that can't do without a call none starts behind one that stands for its, or for a trial.
 	stopped := len(i.standing) > 0 || i.fails >= failures && i.calls > 0
 	for i.room(now) > 0 && len(i.held) > 0 {
 		best, most := -1, 0.0
@@ -406,8 +405,7 @@
 		i.sample(now, it)
 		if o == OK {
 			i.done++
-			b := &i.bands[it.Band]
-			run := max((took - it.callTime).Seconds(), 1e-4)
+			b, run := &i.bands[it.Band], max((took-it.callTime).Seconds(), 1e-4)
 			learn(&b.latency, run, b.ended+3)
 			learn(&b.span, took.Seconds(), b.ended+3)
 			if it.Hint > 0 {
@@ -427,8 +425,7 @@
 func learn(mean *float64, x, seen float64) { *mean += (x - *mean) / min(seen+1, 16) }
 
 func (i *Instance) sample(now time.Duration, it *item) { // toward the period in which it began
-	age := int((i.nextSample - it.began - 1) / period)
-	if age < 2 {
+	if age := int((i.nextSample - it.began - 1) / period); age < 2 {
 		i.sum[age] += i.ratio(now, it)
 		i.count[age]++
 	}
@@ -614,7 +611,7 @@
 		}
 	}
 	if g.Runnable >= 0 && g.Runnable-float64(i.onCores) < float64(i.cores) {
-		i.unread *= 0.9 // a core is free to read, so nothing waits unread
+		i.unread *= jamFade // a core is free to read, so nothing waits unread
 	}
 	i.say(now)
 	if i.waiting() > 0 {
@@ -648,7 +645,7 @@
 		i.limit += duePart * b.due.Seconds() / b.base / float64(len(i.bands))
 		b.base += (b.latency - b.base) * baseDrift
 	}
-	i.limit = max(i.limit, 0.5)
+	i.limit = max(i.limit, leastLimit)
 	i.sum, i.count = [2]float64{0, i.sum[0]}, [2]float64{0, i.count[0]}
 	if i.crossings++; i.lag <= i.limit {
 		i.crossings = 0
@@ -663,9 +660,9 @@
 	if i.callUse = min(i.callUse+callsUp, 1); i.callTook > callSlow*i.bands[0].due.Seconds() {
 		i.callUse = max(i.callUse*callsDown, leastCalls)
 	}
-	if g.Busy >= 0 && g.Busy < 0.9 && i.waiting() > 0 && i.done > 0 {
+	if g.Busy >= 0 && g.Busy < busyRoom && i.waiting() > 0 && i.done > 0 {
 		i.width = min(i.width+1, float64(i.ceiling(now)))
-	} else if g.Busy >= 0.97 {
+	} else if g.Busy >= busyFull {
 		i.width = max(i.width-1, float64(i.cores))
 	}
 	if i.read > 0 {
@@ -680,11 +677,11 @@
 	case i.missed > 0 && (i.flag || i.jam() > 0):
 		i.shed += shedGain * (1 - i.shed) * float64(i.missed) / float64(max(i.read, i.turned))
 	case i.waited == 0:
-		i.shed -= 0.1 // nothing had to wait: callers keep too much at home
+		i.shed -= shedDown // nothing had to wait: callers keep too much at home
 	case i.lag <= i.limit:
-		i.shed -= 0.03
+		i.shed -= shedEase
 	}
-	i.shed = min(max(i.shed, 0), 0.95)
+	i.shed = min(max(i.shed, 0), shedMost)
 }
 
 // doors lets idle connections go sooner the more room the cores have. A full table shuts out callers, new
@@ -709,7 +706,7 @@
 
 // say sets the value that rides on all answers, so that callers keep at home what would be refused.
 func (i *Instance) say(now time.Duration) {
-	if full := i.jam() > 0.5; full != i.jammed {
+	if full := i.jam() > jamTold; full != i.jammed {
 		i.jammed = full
 		i.host.Log("jam %v: %.2f s unread", full, i.unread)
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"strings"
 	"testing"
 	"time"
 )
@@ -476,3 +477,32 @@
 		t.Error("an item at ten times the share counts as within it")
 	}
 }
+
+func TestAbsurdFiguresLoseNoItem(t *testing.T) {
+	for _, absurd := range []map[string]any{
+		{"fleet": 0.0, "customer.count": 1.0, "customer.0.share_per_s": 5.0}, {"calls_share": 0.0}, {"calls_share": -3.0},
+		{"calls_share": nil}, {"calls_window_s": 0.0}, {"memory_kb": 5.0}, {"band.count": 0.0}, {"cores": 0.0, "crowd": 0.0},
+		{"fleet": 1e300, "callers": 1e300, "free_value": "window"}, {"idle_s": 1e300}, {"customer.count": 1e300},
+	} {
+		i, b := fresh(absurd)
+		i.Arrived(0, 0, of(0))
+		i.Settle(0)
+		i.AtCall(0, 0)
+		for now := sweepGap; now < 3*time.Second; now += sweepGap {
+			i.Tick(now, Gauges{Busy: 0.5, Runnable: 1})
+			i.Settle(now)
+		}
+		if !(i.lag >= 0) || !(i.shed >= 0) || !(i.overCalled > -1e9) {
+			t.Errorf("%v: lag %v, shed %v, calls over by %v", absurd, i.lag, i.shed, i.overCalled)
+		}
+		answers := 0
+		for _, l := range b.lines {
+			if strings.HasPrefix(l, "back 0 ") || l == "scrap 0" {
+				answers++
+			}
+		}
+		if answers != 1 || len(i.customers) > 10000 {
+			t.Errorf("%v: %d answers, want 1, in %q", absurd, answers, b.lines)
+		}
+	}
+}
