Idle connections are left alone where callers mostly come again in time

Now the callers' own time stays where reads a second times that time exceed the told callers. Harms where few of many callers send nearly all and tables are full.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -93,7 +93,7 @@
 
 	memory, ram, size, width      float64    // size: kilobytes of a held work item, lately; width: how many run
 	callShare, callUse, callTook  float64    // calls out in the mean, the part in use, their recent time
-	overCalled                    float64    // call-seconds used beyond the share
+	overCalled, sends             float64    // call-seconds used beyond the share; reads a period, lately
 	sum, count                    [2]float64 // latency ratios of ended starts: this period's, the last's
 	busy, unread, turnedShare     float64    // lately: of the cores, wait before reading in seconds, of the read
 	read, turned, missed          int        // in this period, as done (runs) and
@@ -471,8 +471,7 @@
 		w := slices.MaxFunc(i.standing, i.byDensity(now))
 		it := &i.items[w]
 		i.standing = without(i.standing, w)
-		it.state = calling
-		i.calls++
+		it.state, i.calls = calling, i.calls+1
 		i.host.Call(w, max(min(it.use, it.due-margin)-now, 10*ms))
 	}
 }
@@ -693,6 +692,9 @@
 	}
 	learn(&i.busy, g.Busy, 3)
 	part := min(max(i.busy*i.busy, leastIdle), 1)
+	if learn(&i.sends, float64(i.read), 15); i.sends*whole.Seconds() > i.num("callers", 0)*period.Seconds() {
+		part = 1 // a caller mostly comes again before its connection would close: closing it gains nothing
+	}
 	if after := time.Duration(part * float64(whole)).Round(time.Second); after != i.idle {
 		i.idle = after
 		i.host.Idle(after)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -454,15 +454,18 @@
 }
 
 func TestIdleConnectionsGoSoonerWhereTheCoresHaveRoom(t *testing.T) {
-	i, b := fresh(map[string]any{"idle_s": 30.0})
+	i, b := fresh(map[string]any{"idle_s": 30.0, "callers": 1000.0})
 	i.busy = 0.5
 	i.doors(Gauges{Busy: 0.5})
 	b.wants(t, 1, "idle 8s")
-	i.busy = 1
+	i.busy, i.read = 1, 0
 	i.doors(Gauges{Busy: 1})
 	b.wants(t, 1, "idle 30s")
 	i.doors(Gauges{Busy: -1})
 	b.wants(t, 2, "idle")
+	i.busy, i.sends = 0.5, 100
+	i.doors(Gauges{Busy: 0.5})
+	b.wants(t, 2, "idle")
 }
 
 func TestShareUnderOneItemInTwoSecondsCanBeMet(t *testing.T) {
