The idle time of connections is never rounded to nothing

Where the callers' own idle time is under five seconds a tenth of it rounded to zero, which means the callers' own.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -695,7 +695,7 @@
 	if learn(&i.sends, float64(i.read), 15); i.sends*whole.Seconds() > i.num("callers", 0)*period.Seconds() {
 		part = 1 // a caller mostly comes again before its connection would close: closing it gains nothing
 	}
-	if after := time.Duration(part * float64(whole)).Round(time.Second); after != i.idle {
+	if after := time.Duration(part * float64(whole)).Round(whole / 30); after != i.idle {
 		i.idle = after
 		i.host.Idle(after)
 	}
