--- a/policy/helper_test.go
+++ b/policy/helper_test.go
@@ -50,7 +50,7 @@
 func told(more map[string]any) map[string]any {
 	m := map[string]any{"cores": 2.0, "memory_kb": 1000.0, "run_memory": 4.0, "receipt_kb": 20.0,
 		"crowd": 4.0, "stop_mode": "abort", "come_back_s": 1.0, "below": "shared", "calls_share": 2.0,
-		"calls_linger_s": 0.2, "grace_s": 1.0, "band.count": 3.0, "slack_s": 0.06}
+		"calls_linger_s": 0.2, "grace_s": 1.0, "band.count": 3.0}
 	for n, kind := range []string{"pure", "receipted", "effectful"} {
 		at := fmt.Sprintf("band.%d.", n)
 		m[at+"kind"], m[at+"payoff"], m[at+"due_s"] = kind, float64(n+1), 1.0
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -95,7 +95,7 @@
 	callShare, callUse, callTook  float64    // calls out in the mean, the part in use, their recent time
 	overCalled, sends             float64    // call-seconds used beyond the share; reads a period, lately
 	sum, count                    [2]float64 // latency ratios of ended starts: this period's, the last's
-	busy, unread, turnedShare     float64    // lately: of the cores, wait before reading in seconds, of the read
+	busy, unread, turnedShare     float64    // lately: cores' share, seconds unread, share of the read
 	read, turned, missed          int        // in this period, as done (runs) and
 	done, waited                  int        // waited (Ticks that found work waiting for a start)
 	lag, limit, shed, said        float64    // limit: the threshold of lag
@@ -453,7 +453,7 @@
 // stand, bands that can do without leave them out, but for a trial, so that the rest finds room below.
 func (i *Instance) serveCalls(now time.Duration) {
 	down, trial := i.fails >= failures, i.calls == 0 && now >= i.nextTrial
-	spare := (down || i.callTook > callSlow*i.bands[0].due.Seconds()) && !trial
+	spare := (down || i.slowBelow()) && !trial
 	for _, w := range slices.Clone(i.standing) {
 		b, stood := &i.bands[i.items[w].Band], now-i.items[w].since
 		if b.poorer > 0 && (spare || stood.Seconds() > standPart*b.due.Seconds()) {
@@ -461,10 +461,8 @@
 			i.host.LeaveOut(w)
 		}
 	}
-	i.meter(now)
 	for len(i.standing) > 0 {
-		// What the share holds beyond whole calls is out only that part of the time, the mean over the window.
-		out, share := float64(i.calls+len(i.lingering)), i.callShare*i.callUse
+		out, share := i.meter(now)
 		if out >= share || out+1 > share && i.overCalled > 0 || down && (i.calls > 0 || now < i.nextTrial) {
 			return
 		}
@@ -492,14 +490,17 @@
 	}
 }
 
-// meter keeps the call-seconds used beyond the share. A part of a window's share may be saved up and is
-// kept back from the rest, so that no window holds more than its share.
-func (i *Instance) meter(now time.Duration) {
-	out, share := float64(i.calls+len(i.lingering)), i.callShare*i.callUse
+// meter tells the calls in hand and the share in use, and keeps the call-seconds used beyond the mean of it.
+// Some of a window's share may be saved up, and is kept back from the rest, so that no window holds more.
+func (i *Instance) meter(now time.Duration) (out, share float64) {
+	out, share = float64(i.calls+len(i.lingering)), i.callShare*i.callUse
 	spent := i.overCalled + (out-(1-savedCalls)*share)*(now-i.metered).Seconds()
 	i.overCalled, i.metered = max(spent, -savedCalls*share*i.span("calls_window_s", 1).Seconds()), now
+	return out, share
 }
 
+func (i *Instance) slowBelow() bool { return i.callTook > callSlow*i.bands[0].due.Seconds() }
+
 // Returned is the end of a call.
 func (i *Instance) Returned(now time.Duration, w int, o Outcome, took time.Duration) {
 	it := &i.items[w]
@@ -656,7 +657,7 @@
 	i.adjust()
 	i.doors(g)
 	// What lies below is crowded long before it dies: slow calls use less of it, so that more of them end.
-	if i.callUse = min(i.callUse+callsUp, 1); i.callTook > callSlow*i.bands[0].due.Seconds() {
+	if i.callUse = min(i.callUse+callsUp, 1); i.slowBelow() {
 		i.callUse = max(i.callUse*callsDown, leastCalls)
 	}
 	if g.Busy >= 0 && g.Busy < busyRoom && i.waiting() > 0 && i.done > 0 {
@@ -665,7 +666,7 @@
 		i.width = max(i.width-1, float64(i.cores))
 	}
 	if i.read > 0 {
-		i.turnedShare += (float64(i.turned)/float64(max(i.read, i.turned)) - i.turnedShare) / 4
+		learn(&i.turnedShare, float64(i.turned)/float64(max(i.read, i.turned)), 3)
 	}
 	i.read, i.turned, i.missed, i.done, i.waited = 0, 0, 0, 0, 0
 }
