--- /dev/null
+++ b/cmd/thymechute/main.go
@@ -0,0 +1,91 @@
+// Command thymechute is one service instance: it wires the parts together, sets Go's limits and waits for the end.
+// It must never hold anything that one of the parts could.
+package main
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"thymechute/internal/catalog"
+	"thymechute/internal/config"
+	"thymechute/internal/index"
+	"thymechute/internal/loop"
+	"thymechute/internal/node"
+	"thymechute/internal/rpc"
+	link "thymechute/internal/runtime"
+)
+
+const (
+	keptBack   = 48  // descriptors for the links, Go's own and one to turn callers away with
+	memoryPart = 0.7 // of the memory limit, for Go; the rest is the kernel's and the code's
+	moreHeap   = 400 // percent of growth between two collections, under that limit
+	dialFor    = time.Second
+)
+
+func main() {
+	given, err := config.Load(os.Getenv)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "thymechute:", err)
+		os.Exit(2)
+	}
+	if err := serve(given); err != nil {
+		fmt.Fprintln(os.Stderr, "thymechute:", err)
+		os.Exit(1)
+	}
+}
+
+// host puts the instance and its front before the loop.
+type host struct {
+	*rpc.Front
+	*node.Instance
+}
+
+func serve(g config.Given) error {
+	runtime.GOMAXPROCS(max(int(math.Ceil(g.Cores)), 1))
+	debug.SetMemoryLimit(int64(float64(g.Memory) * memoryPart))
+	debug.SetGCPercent(moreHeap)
+	sockets := g.Sockets
+	var rl syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &rl) == nil && rl.Cur < uint64(sockets) {
+		sockets = int(rl.Cur)
+	}
+	logging := zap.NewProductionConfig()
+	logging.Encoding, logging.EncoderConfig.EncodeTime = "console", zapcore.ISO8601TimeEncoder
+	logging.DisableCaller, logging.DisableStacktrace = true, true
+	logging.Level = zap.NewAtomicLevelAt(zap.InfoLevel)
+	log, err := logging.Build()
+	if err != nil {
+		return err
+	}
+	defer log.Sync()
+	log = log.Named(g.Name)
+
+	inst := node.New(g.Site, g.Seed, g.Stop, log)
+	front := rpc.NewFront(inst, sockets-keptBack, log)
+	return loop.Run(g.Listen, host{front, inst}, log, func(l *loop.Loop) {
+		dial := func(network, address string) func(loop.Peer) {
+			return func(p loop.Peer) { l.Dial(network, address, dialFor, p) }
+		}
+		after := func(wait time.Duration, f func()) { time.AfterFunc(wait, func() { l.Do(f) }) }
+		cores := link.NewLink(inst, dial("tcp", g.Runtime), after, g.Seed, log)
+		inst.Connect(cores, index.NewLine(inst, dial("tcp", g.Index), log), front,
+			catalog.New(g.Name, dial("udp", g.Catalog)))
+		cores.Open()
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+		go func() {
+			for range signals {
+				l.Do(inst.Leave)
+			}
+		}()
+	})
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,147 @@
+// Package config is the one place where the program's configuration is read, checked and given defaults. It takes
+// GW_CONFIG (the JSON file), and GW_NAME and GW_LISTEN, which win over the file's name and listen. Every error names
+// the faulty key, what was found and what is expected. Unknown keys are ignored. It must never open anything but
+// that file, nor judge the settings' own figures: those are the module's.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"thymechute/internal/told"
+)
+
+// Given is the whole configuration.
+type Given struct {
+	Name, Listen            string
+	Runtime, Catalog, Index string
+	Seed                    uint64
+	Stop                    time.Duration // from SIGTERM to SIGKILL
+	Cores                   float64
+	Memory                  int64 // bytes
+	Sockets                 int
+	Site                    told.Site
+}
+
+// Fault is what is wrong with one key.
+type Fault struct{ Key, Found, Want string }
+
+func (f *Fault) Error() string {
+	return fmt.Sprintf("%s: found %s, expected %s", f.Key, f.Found, f.Want)
+}
+
+// What is taken where a key is missing.
+const (
+	defaultSeed    = "1"
+	defaultStop    = 3000.0
+	defaultCores   = 1.0
+	defaultMemory  = 192.0
+	defaultSockets = 1024.0
+)
+
+// Load reads the configuration by the variables that getenv tells.
+func Load(getenv func(string) string) (g Given, err error) {
+	path := getenv("GW_CONFIG")
+	if path == "" {
+		return g, &Fault{"GW_CONFIG", "nothing", "the path of the configuration file"}
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return g, &Fault{"GW_CONFIG", err.Error(), "a file that can be read"}
+	}
+	var file map[string]any
+	if err := json.Unmarshal(text, &file); err != nil {
+		return g, &Fault{"GW_CONFIG", err.Error(), "a JSON object in " + path}
+	}
+	r := &reader{file: file}
+	limits := &reader{at: "limits.", file: r.object("limits")}
+	g.Name = r.text("name", getenv("GW_NAME"), "")
+	g.Listen = r.address("listen", getenv("GW_LISTEN"))
+	g.Runtime, g.Catalog, g.Index = r.address("runtime", ""), r.address("directory", ""), r.address("index", "")
+	seed := r.text("seed", "", defaultSeed)
+	if g.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
+		r.fail("seed", strconv.Quote(seed), "up to 16 hex digits")
+	}
+	g.Stop = time.Duration(r.number("stop_ms", defaultStop, 1, 3.6e6) * float64(time.Millisecond))
+	g.Cores = limits.number("cores", defaultCores, 0.01, 1024)
+	g.Memory = int64(limits.number("memory_mb", defaultMemory, 16, 1e6) * (1 << 20))
+	g.Sockets = int(limits.number("sockets", defaultSockets, 64, 1e6))
+	settings := r.object("settings")
+	if g.Site = told.Read(settings); r.err == nil && len(g.Site.Bands) == 0 {
+		r.fail("settings.classes", "none with a name", "at least one class with a name")
+	}
+	if r.err == nil {
+		r.err = limits.err
+	}
+	return g, r.err
+}
+
+// reader reads keys and keeps the first fault.
+type reader struct {
+	at   string
+	file map[string]any
+	err  error
+}
+
+func (r *reader) fail(key, found, want string) {
+	if r.err == nil {
+		r.err = &Fault{r.at + key, found, want}
+	}
+}
+
+func show(v any, ok bool) string {
+	if !ok || v == nil {
+		return "nothing"
+	}
+	text, _ := json.Marshal(v)
+	return fmt.Sprintf("%.60s", text)
+}
+
+func (r *reader) object(key string) map[string]any {
+	v, ok := r.file[key]
+	m, is := v.(map[string]any)
+	if !is && (ok || key == "settings") {
+		r.fail(key, show(v, ok), "an object")
+	}
+	return m
+}
+
+func (r *reader) text(key, first, otherwise string) string {
+	if first != "" {
+		return first
+	}
+	v, ok := r.file[key]
+	s, is := v.(string)
+	if !ok && otherwise != "" {
+		return otherwise
+	}
+	if !is || s == "" || len(s) > 200 {
+		r.fail(key, show(v, ok), "a text")
+	}
+	return s
+}
+
+func (r *reader) address(key, first string) string {
+	s := r.text(key, first, "")
+	if a, err := netip.ParseAddrPort(s); s != "" && (err != nil || a.Port() == 0) {
+		r.fail(key, strconv.Quote(s), "an IP address and a port")
+	}
+	return s
+}
+
+func (r *reader) number(key string, otherwise, least, most float64) float64 {
+	v, ok := r.file[key]
+	if !ok {
+		return otherwise
+	}
+	x, is := v.(float64)
+	if !is || math.IsNaN(x) || x < least || x > most {
+		r.fail(key, show(v, ok), fmt.Sprintf("a number from %g to %g", least, most))
+	}
+	return x
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -8,9 +8,9 @@
 	"errors"
 	"fmt"
 	"io"
-	"strconv"
 	"time"
 
+	"thymechute/internal/told"
 	"thymechute/internal/wire"
 	"thymechute/policy"
 )
@@ -265,97 +265,13 @@
 	if err := json.Unmarshal([]byte(text), &info); err != nil {
 		return m.Bad("info", "a JSON object: "+err.Error())
 	}
-	told := map[string]any{}
-	flatten("", info, told)
-	h.gauges = nil
-	for i := 0; ; i++ {
-		name, ok := told["domain.gauges."+strconv.Itoa(i)].(string)
-		if !ok {
-			break
-		}
-		h.gauges = append(h.gauges, name)
-	}
-	renamed := map[string]any{}
-	for from, to := range names {
-		if v, ok := told[from]; ok {
-			renamed[to] = v
-		}
-	}
-	list(told, renamed, "classes.", "band.", bandNames)
-	list(told, renamed, "tenants.", "customer.", customerNames)
-	for i := 0; ; i++ {
-		n := strconv.Itoa(i)
-		calls, ok1 := told["domain.calls_by_class."+n]
-		poorer, ok2 := told["domain.degraded_worth."+n]
-		if !ok1 && !ok2 {
-			break
-		}
-		renamed["band."+n+".calls"], renamed["band."+n+".poorer"] = calls, poorer
-	}
+	site := told.Read(info)
+	h.gauges = site.Gauges
 	h.start, h.out, h.index, h.ticket, h.spare = h.now, h.out[:0], map[uint64]int{}, nil, nil
-	h.mod = policy.New(h, seed, renamed)
+	h.mod = policy.New(h, seed, site.Told)
 	return nil
 }
 
-// flatten writes a JSON value's leaves under dotted names; numbers stay float64.
-func flatten(at string, v any, into map[string]any) {
-	switch v := v.(type) {
-	case map[string]any:
-		for k, x := range v {
-			flatten(at+"."+k, x, into)
-		}
-	case []any:
-		for i, x := range v {
-			flatten(at+"."+strconv.Itoa(i), x, into)
-		}
-	case nil:
-	default:
-		into[at[1:]] = v
-	}
-}
-
-// list renames the entries of one list, and counts them.
-func list(told, into map[string]any, from, to string, words map[string]string) {
-	for i := 0; ; i++ {
-		n, found := strconv.Itoa(i), false
-		for word, ours := range words {
-			if v, ok := told[from+n+"."+word]; ok {
-				found = true
-				if kind, ok := kinds[v]; ok && ours == "kind" {
-					v = kind
-				}
-				into[to+n+"."+ours] = v
-			}
-		}
-		if !found {
-			into[to+"count"] = float64(i)
-			return
-		}
-	}
-}
-
-// The wire's names for settings and ours.
-var names = map[string]string{
-	"domain.cores": "cores", "domain.ram_kb": "memory_kb", "domain.blowup": "run_memory",
-	"domain.entry_kb": "receipt_kb", "domain.fresh_s": "fresh_s", "domain.halt": "stop_mode",
-	"domain.say": "free_value", "domain.cold": "cold", "domain.clients_total": "callers",
-	"domain.caller_idle_s": "idle_s", "domain.depends_on": "below", "domain.dep_share": "calls_share",
-	"domain.linger_s": "calls_linger_s", "domain.dep_window_s": "calls_window_s",
-	"fleet_size": "fleet", "over_share_worth": "over_share_payoff", "worth_by": "payoff_by",
-	"policy_limits.max_retry_after_s": "come_back_s", "policy_limits.retry_after": "come_back",
-	"rules.cold_from": "cold_from", "rules.warm_after_s": "warm_s", "rules.drain_grace_s": "grace_s",
-	"rules.fall_multiple": "crowd",
-}
-
-var bandNames = map[string]string{
-	"aim_s": "due_s", "deadline_s": "patience_s", "late_value": "late_payoff", "repeat": "kind",
-	"window_s": "window_s", "worth": "payoff",
-}
-
-var kinds = map[any]string{"repeatable": "pure", "by_key": "receipted", "once": "effectful"}
-
-var customerNames = map[string]string{"quota_per_s": "share_per_s"}
-
 func (h *host) say(name string, pairs ...any) { h.out = wire.Line(h.out, name, pairs...) }
 
 func (h *host) Start(w int)    { h.say("RUN", "ticket", h.ticket[w]) }
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,643 @@
+// Package node is the instance: it keeps the work items that were read, their keys and results, and carries what
+// happens to the decision module and what the module does to the runtime, the index and the callers. It knows work
+// items, not messages: every protocol comes in by the same door (Arrive, Gone, Check) and answers through its own
+// Asker. It must never decide what runs, waits or is turned back, never block, and never be entered from
+// another goroutine than the loop's. Its tables: items (mostItems; emptied by the module's Release), receipts
+// (mostReceipts; emptied by the module's Forget and by time), inbox and later (emptied each round).
+package node
+
+import (
+	"errors"
+
+	"slices"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"thymechute/internal/told"
+	"thymechute/policy"
+)
+
+const (
+	mostItems    = 8192
+	mostReceipts = 100000
+	afterEnd     = 2 * time.Second        // a receipt outlives its end by this, for what is read late
+	sweepEvery   = 500 * time.Millisecond // receipts
+	oldGauges    = 200 * time.Millisecond // readings older than this are not offered
+	quietBefore  = 200 * time.Millisecond // nothing may have come for so long before an early end
+	lastCall     = 60 * time.Millisecond  // before the kill: the end at the latest
+	longestWait  = time.Hour
+)
+
+// Errors of the door; nothing was taken in.
+var (
+	ErrBand     = errors.New("unknown band")
+	ErrCustomer = errors.New("unknown customer")
+	ErrTwice    = errors.New("id is in use")
+	ErrFull     = errors.New("tables are full")
+)
+
+// Ask is a work item as a protocol hands it in.
+type Ask struct {
+	Rid, Band, Customer, Receipt, Subject string
+	Came                                  time.Time // to this machine
+	From                                  int
+	Again                                 bool
+	KB, Rank                              float64
+	Body                                  []byte
+}
+
+// Kind is what became of a work item.
+type Kind int
+
+// The final answers.
+const (
+	Fulfilled Kind = iota
+	TurnedBack
+	Scrapped
+)
+
+// Answer is final.
+type Answer struct {
+	Kind     Kind
+	Result   []byte
+	ComeBack time.Duration
+	No       bool    // no other server helps
+	Free     float64 // the free value; negative: none
+}
+
+// Asker takes answers for what came on one connection, by the tags it gave.
+type Asker interface {
+	Answer(tag string, a Answer)
+	Checked(tag string, good bool, free float64)
+}
+
+// Runtime does the work; commands given while it is not Up are given again by the node once it is.
+type Runtime interface {
+	Up() bool
+	Start(rid, band string, body []byte)
+	Stop(rid string)
+	Give(rid string, reply []byte)
+	LeaveOut(rid string)
+	Gauges()
+	SelfTest(tag string)
+}
+
+// Below takes the calls.
+type Below interface {
+	Call(rid string, patience time.Duration, body []byte)
+	GiveUp(rid string)
+	Sweep(now time.Time) time.Time // ends what is over its time; when to come again
+}
+
+// Front is what a protocol's connections are told.
+type Front interface {
+	Idle(after time.Duration)
+	Leave()
+	Sweep(now time.Time)
+}
+
+// Reports go to the catalog.
+type Reports interface {
+	Sweep(now time.Time, good bool)
+}
+
+type item struct {
+	asker     Asker // nil: nobody waits
+	tag, rid  string
+	band      int
+	body      []byte
+	key       string   // of its receipt; empty: none
+	joins     *receipt // whose result it waits for
+	call      []byte   // body of the call that it stands at
+	give      []byte   // reply to it that no link has taken yet
+	live      bool
+	started   bool // by the module
+	sent      bool // the command was handed to a link
+	confirmed bool // the runtime has spoken of it
+	stopped   bool
+	calling   bool
+	answered  bool
+}
+
+// receipt is what is known of a key. It stands until its end, whether or not its try is still here.
+type receipt struct {
+	w       int // of the try that has the entry; policy.GoneForerunner once that is released
+	end     time.Duration
+	over    bool // the run has ended, or never will
+	ok      bool
+	result  []byte
+	joiners []int
+}
+
+// Instance is one server.
+type Instance struct {
+	log     *zap.Logger
+	site    told.Site
+	seed    uint64
+	stop    time.Duration // from notice to kill
+	bands   map[string]int
+	clients map[string]int
+	runtime Runtime
+	below   Below
+	front   Front
+	reports Reports
+
+	mod      *policy.Instance // none before the runtime was up once
+	start    time.Time
+	now      time.Duration // of the round
+	items    []item
+	spare    []int
+	live     int
+	byRid    map[string]int
+	receipts map[string]*receipt
+	inbox    []func() // what came since the last round, in order
+	later    []func() // what the module must hear after what it is at
+	checks   map[string]check
+
+	good, stored     bool
+	free             float64
+	gauges           policy.Gauges
+	gaugesAt, wake   time.Duration
+	swept, lastRead  time.Duration
+	began            time.Time // of the runtime
+	old              time.Duration
+	leaving          bool
+	killAt, graceEnd time.Duration
+}
+
+type check struct {
+	asker Asker
+	tag   string
+	until time.Duration
+}
+
+// New makes an instance that waits for its runtime.
+func New(site told.Site, seed uint64, stop time.Duration, log *zap.Logger) *Instance {
+	n := &Instance{log: log, site: site, seed: seed, stop: stop, free: -1, start: time.Now(),
+		bands: map[string]int{}, clients: map[string]int{}, byRid: map[string]int{},
+		receipts: map[string]*receipt{}, checks: map[string]check{}, gauges: policy.Gauges{Busy: -1, Runnable: -1}}
+	for i, name := range site.Bands {
+		n.bands[name] = i
+	}
+	for i, name := range site.Customers {
+		n.clients[name] = i
+	}
+	return n
+}
+
+// Join connects the instance with its sides.
+func (n *Instance) Connect(r Runtime, b Below, f Front, c Reports) {
+	n.runtime, n.below, n.front, n.reports = r, b, f, c
+}
+
+func (n *Instance) put(f func()) { n.inbox = append(n.inbox, f) }
+
+// Round hands all that came to the module, then lets it act. It tells when to come again, and whether to end.
+func (n *Instance) Round() (time.Time, bool) {
+	clock := time.Now()
+	n.now = clock.Sub(n.start)
+	next := n.below.Sweep(clock)
+	inbox := n.inbox
+	n.inbox = nil
+	for _, f := range inbox {
+		f()
+	}
+	if n.mod == nil {
+		n.reports.Sweep(clock, false)
+		n.front.Sweep(clock)
+		return clock.Add(100 * time.Millisecond), n.leaving
+	}
+	if n.now >= n.wake {
+		g := n.gauges
+		if n.now-n.gaugesAt > oldGauges {
+			g = policy.Gauges{Busy: -1, Runnable: -1}
+		}
+		n.mod.Tick(n.now, g)
+		if n.runtime.Up() {
+			n.runtime.Gauges() // for the next one: nothing waits for readings
+		}
+	}
+	n.mod.Settle(n.now)
+	for len(n.later) > 0 {
+		later := n.later
+		n.later = nil
+		for _, f := range later {
+			f()
+		}
+		n.mod.Settle(n.now)
+	}
+	if n.now >= n.swept {
+		n.sweep()
+	}
+	n.reports.Sweep(clock, n.good && !n.leaving)
+	n.front.Sweep(clock)
+	if at := n.start.Add(n.wake); next.IsZero() || at.Before(next) {
+		next = at
+	}
+	return next, n.leaving && n.done()
+}
+
+// done: a leaving server may end once nothing is owed and nothing that comes would run.
+func (n *Instance) done() bool {
+	if n.now >= n.killAt-lastCall {
+		return true
+	}
+	if n.now < n.graceEnd || n.now-n.lastRead < quietBefore {
+		return false
+	}
+	return !slices.ContainsFunc(n.items, func(it item) bool { return it.live && !it.answered && it.asker != nil })
+}
+
+func (n *Instance) sweep() {
+	n.swept = n.now + sweepEvery
+	for key, r := range n.receipts {
+		if n.now > r.end+afterEnd && r.w < 0 && len(r.joiners) == 0 {
+			delete(n.receipts, key)
+		}
+	}
+	for tag, c := range n.checks {
+		if n.now > c.until {
+			delete(n.checks, tag)
+			c.asker.Checked(c.tag, false, n.free)
+		}
+	}
+}
+
+// Leave is the notice that this server will be stopped.
+func (n *Instance) Leave() {
+	n.put(func() {
+		if n.leaving {
+			return
+		}
+		n.leaving = true
+		n.killAt = n.now + n.stop
+		grace, _ := n.site.Told["grace_s"].(float64)
+		n.graceEnd = n.now + time.Duration(grace*float64(time.Second))
+		if n.mod != nil {
+			n.mod.Leave(n.now, n.stop)
+		}
+		n.front.Leave()
+	})
+}
+
+// Arrive is the door: a work item has been read. An error means that it was not taken in.
+func (n *Instance) Arrive(asker Asker, tag string, ask Ask) error {
+	band, ok := n.bands[ask.Band]
+	if !ok {
+		return ErrBand
+	}
+	customer, ok := n.clients[ask.Customer]
+	if !ok {
+		if customer = -1; ask.Customer != "" {
+			return ErrCustomer
+		}
+	}
+	if _, ok := n.byRid[ask.Rid]; ok {
+		return ErrTwice
+	}
+	if n.mod == nil || n.live >= mostItems || len(n.receipts) >= mostReceipts {
+		return ErrFull
+	}
+	w := len(n.items)
+	if k := len(n.spare); k > 0 {
+		w, n.spare = n.spare[k-1], n.spare[:k-1]
+	} else {
+		n.items = append(n.items, item{})
+	}
+	n.items[w] = item{live: true, asker: asker, tag: tag, rid: ask.Rid, band: band, body: ask.Body}
+	n.byRid[ask.Rid] = w
+	n.live++
+	n.put(func() { n.arrive(w, customer, ask) })
+	return nil
+}
+
+func (n *Instance) arrive(w, customer int, ask Ask) {
+	it := &n.items[w]
+	kind, fresh := n.site.Told["band."+strconv.Itoa(it.band)+".kind"], n.site.Told["fresh_s"]
+	work := policy.Work{Band: it.band, Customer: customer, From: ask.From, Repeat: ask.Again, Rank: ask.Rank,
+		KB: ask.KB, Subject: ask.Subject != "", Forerunner: policy.NoForerunner}
+	work.Waited = min(max(time.Since(ask.Came), 0), longestWait)
+	if kind == "receipted" && ask.Receipt != "" {
+		it.key = ask.Band + " " + ask.Receipt
+	} else if f, _ := fresh.(float64); kind == "pure" && ask.Subject != "" && f > 0 {
+		it.key = ask.Band + " " + ask.Subject
+	}
+	n.lastRead = n.now
+	if r := n.receipts[it.key]; it.key != "" && r != nil && n.now-work.Waited <= r.end {
+		work.Forerunner = r.w
+	} else if kind == "receipted" && ask.Again && n.now-work.Waited < n.old {
+		// The life before this one may have run an earlier try, and nothing of it is known here.
+		work.Forerunner = policy.GoneForerunner
+	}
+	n.mod.Arrived(n.now, w, work)
+}
+
+// Gone: nobody will hear answers to what came from this asker.
+func (n *Instance) Gone(asker Asker) {
+	for w := range n.items {
+		it := &n.items[w]
+		if !it.live || it.asker != asker {
+			continue
+		}
+		it.asker = nil
+		rid := it.rid
+		n.put(func() {
+			if at, ok := n.byRid[rid]; ok && at == w && !n.items[w].answered {
+				n.mod.CallerGone(n.now, w)
+			}
+		})
+	}
+}
+
+// Check answers a health check, at once or when the runtime has done its work.
+func (n *Instance) Check(asker Asker, tag string, full bool) {
+	if !full || n.stored || n.mod == nil || !n.runtime.Up() || len(n.checks) >= mostItems {
+		asker.Checked(tag, n.mod != nil && n.good, n.free)
+		return
+	}
+	name := "c" + strconv.Itoa(len(n.checks)) + "-" + strconv.Itoa(int(n.now/time.Microsecond))
+	n.checks[name] = check{asker, tag, n.now + 5*time.Second}
+	n.runtime.SelfTest(name)
+}
+
+// Verdict is the end of a self-test.
+func (n *Instance) Verdict(tag string, good bool) {
+	if c, ok := n.checks[tag]; ok {
+		delete(n.checks, tag)
+		c.asker.Checked(c.tag, good && n.good, n.free)
+	}
+}
+
+// Ready: the runtime answers, as new or as one that has seen a life of this instance before; it began so long ago.
+func (n *Instance) Ready(old bool, ago time.Duration) {
+	began := time.Now().Add(-ago)
+	n.put(func() {
+		if n.mod == nil {
+			n.log.Info("runtime up", zap.Bool("old", old), zap.Duration("ago", ago))
+			n.start = began // a cold machine warms from its runtime's start
+			n.now = time.Since(began)
+			if old {
+				n.old = n.now
+			}
+			n.mod = policy.New(n, n.seed, n.site.Told)
+		} else if began.Sub(n.began) > time.Second {
+			n.log.Warn("runtime started anew: its runs are lost")
+			for w := range n.items {
+				if it := &n.items[w]; it.live && it.sent {
+					n.ended(w, policy.Cancelled, 0, nil)
+				}
+			}
+		}
+		n.began = began
+	})
+}
+
+// Caught up: a new link has told all that was missed. What may not have reached the runtime is said again; a start
+// of what runs is nothing, while a reply that may have been taken is not given twice.
+func (n *Instance) CaughtUp() {
+	n.put(func() {
+		for w := range n.items {
+			it := &n.items[w]
+			if !it.live {
+				continue
+			}
+			if it.started && !it.confirmed {
+				it.sent = true
+				n.runtime.Start(it.rid, n.site.Bands[it.band], it.body)
+			}
+			if it.stopped {
+				n.runtime.Stop(it.rid)
+			}
+			if it.give != nil {
+				n.runtime.Give(it.rid, it.give)
+				it.give = nil
+			}
+		}
+	})
+}
+
+// End is the end of a run.
+func (n *Instance) End(rid string, o policy.Outcome, took time.Duration, result []byte) {
+	n.put(func() {
+		if w, ok := n.byRid[rid]; ok && n.items[w].started {
+			n.ended(w, o, took, result)
+		}
+	})
+}
+
+func (n *Instance) ended(w int, o policy.Outcome, took time.Duration, result []byte) {
+	it := &n.items[w]
+	n.giveUp(it)
+	switch o {
+	case policy.OK:
+		n.answer(w, Answer{Kind: Fulfilled, Result: result})
+	case policy.Cancelled: // the module answers
+	default:
+		n.answer(w, Answer{Kind: Scrapped})
+	}
+	if r := n.receipts[it.key]; r != nil && r.w == w {
+		n.conclude(r, o == policy.OK, result)
+	}
+	n.mod.Ended(n.now, w, o, took)
+}
+
+// conclude keeps a result for as long as the receipt stands, and gives it to who waits for it.
+func (n *Instance) conclude(r *receipt, ok bool, result []byte) {
+	r.over, r.ok, r.result = true, ok, result
+	for _, w := range r.joiners {
+		n.settleJoin(w, r)
+	}
+	r.joiners = nil
+}
+
+func (n *Instance) settleJoin(w int, r *receipt) {
+	rid := n.items[w].rid
+	n.later = append(n.later, func() {
+		if at, ok := n.byRid[rid]; !ok || at != w {
+			return
+		}
+		n.items[w].joins = nil
+		if r != nil && r.ok {
+			n.answer(w, Answer{Kind: Fulfilled, Result: r.result})
+			n.mod.Ended(n.now, w, policy.OK, 0)
+			return
+		}
+		n.answer(w, Answer{Kind: Scrapped})
+		n.mod.Ended(n.now, w, policy.Failed, 0)
+	})
+}
+
+// Wants: a run stands at a call.
+func (n *Instance) Wants(rid string, body []byte) {
+	n.put(func() {
+		if w, ok := n.byRid[rid]; ok && n.items[w].started {
+			it := &n.items[w]
+			it.confirmed, it.call, it.give = true, body, nil
+			n.mod.AtCall(n.now, w)
+		}
+	})
+}
+
+// Returned is the end of a call.
+func (n *Instance) Returned(rid string, o policy.Outcome, took time.Duration, reply []byte) {
+	n.put(func() {
+		w, ok := n.byRid[rid]
+		if !ok || !n.items[w].calling {
+			return
+		}
+		it := &n.items[w]
+		it.calling = false
+		if o == policy.OK {
+			if n.runtime.Up() {
+				n.runtime.Give(rid, reply)
+			} else {
+				it.give = reply
+			}
+		}
+		n.mod.Returned(n.now, w, o, took)
+	})
+}
+
+// Readings are the gauges, in the settings' order.
+func (n *Instance) Readings(row []float64) {
+	n.gauges, n.gaugesAt = policy.Gauges{Busy: -1, Runnable: -1}, time.Since(n.start)
+	for i, name := range n.site.Gauges {
+		if i >= len(row) {
+			break
+		}
+		switch name {
+		case "cpu_busy":
+			n.gauges.Busy = row[i]
+		case "runnable":
+			n.gauges.Runnable = row[i]
+		}
+	}
+}
+
+func (n *Instance) answer(w int, a Answer) {
+	it := &n.items[w]
+	if it.answered {
+		return
+	}
+	it.answered = true
+	if it.asker != nil {
+		a.Free = n.free
+		it.asker.Answer(it.tag, a)
+	}
+}
+
+func (n *Instance) giveUp(it *item) {
+	if it.calling {
+		it.calling = false
+		n.below.GiveUp(it.rid)
+	}
+}
+
+// Start puts a work item on the cores.
+func (n *Instance) Start(w int) {
+	it := &n.items[w]
+	it.started = true
+	if n.runtime.Up() {
+		it.sent = true
+		n.runtime.Start(it.rid, n.site.Bands[it.band], it.body)
+	}
+}
+
+// Stop takes it off.
+func (n *Instance) Stop(w int) {
+	it := &n.items[w]
+	it.stopped = true
+	if n.runtime.Up() {
+		n.runtime.Stop(it.rid)
+	}
+}
+
+// TurnBack answers what has not run.
+func (n *Instance) TurnBack(w int, comeBack time.Duration, no bool) {
+	n.answer(w, Answer{Kind: TurnedBack, ComeBack: comeBack, No: no})
+}
+
+// Scrap answers with an error; a call that is out for it is given up.
+func (n *Instance) Scrap(w int) {
+	n.answer(w, Answer{Kind: Scrapped})
+	n.giveUp(&n.items[w])
+}
+
+// Call issues the call.
+func (n *Instance) Call(w int, patience time.Duration) {
+	it := &n.items[w]
+	it.calling = true
+	n.below.Call(it.rid, patience, it.call)
+}
+
+// LeaveOut goes on without it.
+func (n *Instance) LeaveOut(w int) { n.runtime.LeaveOut(n.items[w].rid) }
+
+// Record enters the receipt, or moves it to this try.
+func (n *Instance) Record(w int, life time.Duration) {
+	key := n.items[w].key
+	if key == "" {
+		return
+	}
+	r := n.receipts[key]
+	if r == nil {
+		r = &receipt{}
+		n.receipts[key] = r
+	}
+	r.w, r.end = w, n.now+life
+}
+
+// Forget takes the receipt out.
+func (n *Instance) Forget(w int) {
+	if key := n.items[w].key; n.receipts[key] != nil && n.receipts[key].w == w {
+		delete(n.receipts, key)
+	}
+}
+
+// Join waits for the forerunner's result.
+func (n *Instance) Join(w int) {
+	it := &n.items[w]
+	r := n.receipts[it.key]
+	if r == nil || r.over {
+		n.settleJoin(w, r)
+		return
+	}
+	it.joins = r
+	r.joiners = append(r.joiners, w)
+}
+
+// Health is how checks are answered.
+func (n *Instance) Health(good, stored bool) { n.good, n.stored = good, stored }
+
+// Idle closes connections idle for so long.
+func (n *Instance) Idle(after time.Duration) { n.front.Idle(after) }
+
+// Free is the value that rides on all answers.
+func (n *Instance) Free(value float64) { n.free = value }
+
+// Wake asks for a Tick.
+func (n *Instance) Wake(at time.Duration) { n.wake = at }
+
+// Release is the module's last word on an index.
+func (n *Instance) Release(w int) {
+	it := &n.items[w]
+	if r := n.receipts[it.key]; r != nil && r.w == w {
+		r.w = policy.GoneForerunner
+		if !r.over {
+			n.conclude(r, false, nil)
+		}
+	}
+	if r := it.joins; r != nil {
+		r.joiners = slices.DeleteFunc(r.joiners, func(x int) bool { return x == w })
+	}
+	n.giveUp(it)
+	delete(n.byRid, it.rid)
+	n.items[w] = item{}
+	n.live--
+	n.spare = append(n.spare, w)
+}
+
+// Log is one line to the operators.
+func (n *Instance) Log(format string, args ...any) { n.log.Sugar().Infof(format, args...) }
