Own accepting on gnet's loop: the door closes before the end, standstills are seen

Checked: gnet's server ends its whole engine when an accept fails, and offers no way to stop listening while connections go on; its client engine has the same loop, so connections are accepted here and enrolled. Also: a runtime started anew is told from the time its sync was sent, not from when its answer was read; a reply that may have been taken is not given twice; a silent machine defers ticks; log lines never block the loop; unread output is bounded in all.

--- a/cmd/thymechute/main.go
+++ b/cmd/thymechute/main.go
@@ -12,9 +12,6 @@
 	"syscall"
 	"time"
 
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
-
 	"thymechute/internal/catalog"
 	"thymechute/internal/config"
 	"thymechute/internal/index"
@@ -58,16 +55,9 @@
 	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &rl) == nil && rl.Cur < uint64(sockets) {
 		sockets = int(rl.Cur)
 	}
-	logging := zap.NewProductionConfig()
-	logging.Encoding, logging.EncoderConfig.EncodeTime = "console", zapcore.ISO8601TimeEncoder
-	logging.DisableCaller, logging.DisableStacktrace = true, true
-	logging.Level = zap.NewAtomicLevelAt(zap.InfoLevel)
-	log, err := logging.Build()
-	if err != nil {
-		return err
-	}
-	defer log.Sync()
-	log = log.Named(g.Name)
+	out := newLines(os.Stderr)
+	defer out.close()
+	log := newLog(g.Name, out)
 
 	inst := node.New(g.Site, g.Seed, g.Stop, log)
 	front := rpc.NewFront(inst, sockets-keptBack, log)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -1,29 +1,34 @@
 // Package loop owns the sockets: one gnet event loop, on whose goroutine everything of the instance happens. It
 // hands bytes to the peer of their connection, gathers what is ready, then calls the host's Round once for all of
-// it, and writes out what the peers have put down by then. Outbound connections are dialled on a goroutine of
+// it, and writes out what the peers have put down by then. Connections are accepted and dialled on goroutines of
 // their own and join the loop when they stand. It must never block, decide, or know what the bytes mean; an
-// error or a panic in a peer ends that peer's connection and nothing else.
+// error or a panic in a peer ends that peer's connection and nothing else. Its tables: dirty (emptied each round)
+// and stuck (bounded by mostUnsent and mostUnsentAll; emptied as the peers read).
 package loop
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	gerrors "github.com/panjf2000/gnet/v2/pkg/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 )
 
 const (
-	mostUnsent  = 512 << 10              // bytes that a peer may leave unread before its connection is closed
-	keptBuffer  = 16 << 10               // output buffers over it are given back when they are empty
-	lateWake    = 50 * time.Millisecond  // a wake so late tells of a standstill
-	mostGathers = 64                     // rounds put off after a standstill while still more comes in
-	readBuffer  = 64 << 10               // what one connection may bring at a time
-	bootGap     = 100 * time.Millisecond // between tries to get the first socket into the loop
+	mostUnsent    = 256 << 10             // bytes that one peer may leave unread before its connection is closed
+	mostUnsentAll = 24 << 20              // and all together
+	keptBuffer    = 16 << 10              // output buffers over it are given back when they are empty
+	lateWake      = 50 * time.Millisecond // a wake so late tells of a standstill
+	mostGathers   = 64                    // rounds put off after a standstill while still more comes in
+	readBuffer    = 64 << 10              // what one connection may bring at a time
+	acceptGap     = 5 * time.Millisecond  // after a failed accept
 )
 
 // Wire is a connection as its peer sees it. All calls are made on the loop.
@@ -39,10 +44,20 @@
 	Closed(err error)    // the last call; without Opened before it no connection came to be
 }
 
+// Phase is how far a host is with its life.
+type Phase int
+
+// The phases.
+const (
+	Serving Phase = iota
+	Closing       // no further connection is accepted
+	Ended
+)
+
 // Host is told of the rounds.
 type Host interface {
-	Accept() Peer             // nil: no room
-	Round() (time.Time, bool) // all that was ready has been read; when to come again at the latest, and whether to end
+	Accept() Peer              // nil: no room
+	Round() (time.Time, Phase) // all that was ready has been read; when to come again at the latest
 }
 
 // Broken is why a connection ended, and how far it had come.
@@ -63,21 +78,21 @@
 // Loop is the engine; its fields belong to the loop's goroutine.
 type Loop struct {
 	gnet.BuiltinEventEngine
-	host    Host
-	address string
-	log     *zap.Logger
-	engine  gnet.Engine
-	el      gnet.EventLoop
-	first   func() // once, on the loop, when it turns
+	host   Host
+	log    *zap.Logger
+	client *gnet.Client // gnet's engine without a listener of its own: see docs/design.md
+	listen net.Listener
+	el     gnet.EventLoop
+	ended  chan struct{}
 
-	booted  bool
 	queued  bool // a round is
 	read    bool // something came since the last round
 	gathers int
 	wake    time.Time
 	timer   *time.Timer
-	dirty   []*conn // have output or are to be closed; emptied each round
-	ending  bool
+	phase   Phase
+	dirty   []*conn // have output or are to be closed
+	stuck   map[*conn]struct{}
 }
 
 type conn struct {
@@ -89,58 +104,81 @@
 	closing bool
 }
 
-// Run serves on the address until the host ends it. first is called once on the loop.
+// Run serves on the address until the host has ended. first is called once on the loop before anything else.
 func Run(address string, host Host, log *zap.Logger, first func(*Loop)) error {
-	l := &Loop{host: host, address: address, log: log}
-	l.first = func() { first(l) }
-	return gnet.Run(l, "tcp://"+address, gnet.WithNumEventLoop(1), gnet.WithReusePort(true),
-		gnet.WithLoadBalancing(gnet.LeastConnections), gnet.WithTicker(true), gnet.WithReadBufferCap(readBuffer),
+	// Who supervises the instance may keep its address bound between two lives, so it has to be shared.
+	shared := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
+		failed := c.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) })
+		return cmp.Or(err, failed)
+	}}
+	listen, err := shared.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return err
+	}
+	l := &Loop{host: host, log: log, listen: listen, ended: make(chan struct{}), stuck: map[*conn]struct{}{}}
+	l.client, err = gnet.NewClient(l, gnet.WithNumEventLoop(1), gnet.WithReadBufferCap(readBuffer),
 		gnet.WithLogger(log.Sugar()), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
+	if err == nil {
+		err = l.client.Start()
+	}
+	if err == nil {
+		err = l.find()
+	}
+	if err != nil {
+		listen.Close()
+		return err
+	}
+	l.Do(func() {
+		l.timer = time.AfterFunc(time.Hour, func() { l.Do(nil) })
+		first(l)
+	})
+	go l.accept()
+	<-l.ended
+	return l.client.Stop()
 }
 
-// OnBoot keeps the engine.
-func (l *Loop) OnBoot(e gnet.Engine) gnet.Action {
-	l.engine = e
-	return gnet.None
+// find gets hold of gnet's loop, which gnet names only through a connection on it. This datagram socket sends
+// nothing and goes at once.
+func (l *Loop) find() error {
+	c, err := net.Dial("udp", l.listen.Addr().String())
+	if err != nil {
+		return err
+	}
+	g, err := l.client.Enroll(c)
+	if err != nil {
+		return err
+	}
+	l.el = g.EventLoop()
+	return g.Close()
 }
 
-// OnTick comes on a goroutine of gnet's once the loop exists; it is used this once, to get hold of the loop.
-func (l *Loop) OnTick() (time.Duration, gnet.Action) {
-	if l.booted {
-		return time.Hour, gnet.None
-	}
-	l.booted = true
+// accept brings the callers' connections into the loop, until the listener is closed.
+func (l *Loop) accept() {
 	for {
-		// gnet names its loop only through a connection on it. This datagram socket sends nothing.
-		c, err := net.Dial("udp", l.address)
+		c, err := l.listen.Accept()
 		if err == nil {
-			var came <-chan gnet.RegisteredResult
-			if came, err = l.engine.Register(gnet.NewNetConnContext(context.Background(), c)); err == nil {
-				if r := <-came; r.Err == nil {
-					el := r.Conn.EventLoop()
-					_ = el.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
-						l.el = el
-						_ = el.Close(r.Conn)
-						l.timer = time.AfterFunc(time.Hour, func() { l.Do(nil) })
-						l.first()
-						l.round()
-						return nil
-					}))
-					return time.Hour, gnet.None
-				}
-			}
+			_, err = l.client.EnrollContext(c, accepted{})
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			l.log.Warn("not accepted", zap.Error(err))
+			time.Sleep(acceptGap)
 		}
-		time.Sleep(bootGap)
 	}
 }
 
-// Do runs f on the loop, and a round after it. It may be called from any goroutine once first has been.
+type accepted struct{}
+
+// Do runs f on the loop, and a round after it. It may be called from any goroutine.
 func (l *Loop) Do(f func()) {
 	_ = l.el.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 		if f != nil {
 			l.guard("task", f)
 		}
-		return l.round()
+		l.round()
+		return nil
 	}))
 }
 
@@ -149,30 +187,26 @@
 	go func() {
 		c, err := net.DialTimeout(network, address, patience)
 		if err == nil {
-			ctx := gnet.NewNetConnContext(gnet.NewContext(context.Background(), p), c)
-			var came <-chan gnet.RegisteredResult
-			if came, err = l.engine.Register(ctx); err == nil {
-				if r := <-came; r.Err == nil {
-					return
-				} else {
-					err = r.Err
-				}
-			}
+			_, err = l.client.EnrollContext(c, p)
+		}
+		if err != nil {
+			l.Do(func() { p.Closed(&Broken{false, err}) })
 		}
-		l.Do(func() { p.Closed(&Broken{false, err}) })
 	}()
 }
 
 // OnOpen greets a connection of either kind.
 func (l *Loop) OnOpen(g gnet.Conn) (out []byte, action gnet.Action) {
-	p, outbound := g.Context().(Peer)
-	if !outbound {
-		if g.LocalAddr() != nil && g.LocalAddr().Network() == "udp" {
-			return nil, gnet.None // the socket of OnTick
-		}
+	var p Peer
+	switch of := g.Context().(type) {
+	case Peer:
+		p = of
+	case accepted:
 		if p = l.host.Accept(); p == nil {
 			return nil, gnet.Close
 		}
+	default:
+		return nil, gnet.None // the socket of find
 	}
 	c := &conn{l: l, g: g, peer: p}
 	g.SetContext(c)
@@ -190,23 +224,23 @@
 	}
 	l.read = true
 	l.mark()
-	err := fmt.Errorf("peer failed")
+	err := errors.New("peer failed")
 	l.guard("read", func() { err = c.peer.Read(data) })
 	if err == nil {
 		return gnet.None
 	}
-	l.log.Warn("connection closed", zap.Error(err), zap.String("peer", fmt.Sprint(g.RemoteAddr())))
+	l.log.Warn("connection closed", zap.Error(err), zap.Stringer("peer", g.RemoteAddr()))
 	c.flush()
 	return gnet.Close
 }
 
 // OnClose tells the peer.
 func (l *Loop) OnClose(g gnet.Conn, err error) gnet.Action {
-	if c, ok := g.Context().(*conn); ok {
-		c.closing = true
-		if err == nil {
+	if c, ok := g.Context().(*conn); ok && l.phase != Ended {
+		if delete(l.stuck, c); err == nil {
 			err = net.ErrClosed
 		}
+		c.closing = true
 		l.guard("close", func() { c.peer.Closed(&Broken{true, err}) })
 		l.mark()
 	}
@@ -217,7 +251,7 @@
 func (l *Loop) guard(what string, f func()) {
 	defer func() {
 		if p := recover(); p != nil {
-			l.log.Error("panic", zap.String("in", what), zap.Any("cause", p), zap.ByteString("stack", debug.Stack()))
+			l.log.Error("panic", zap.String("in", what), zap.String("cause", fmt.Sprint(p)), zap.ByteString("stack", debug.Stack()))
 		}
 	}()
 	f()
@@ -225,37 +259,69 @@
 
 // mark asks for a round after all that is ready now: gnet runs tasks behind the events of the poll they are in.
 func (l *Loop) mark() {
-	if !l.queued && l.el != nil {
+	if !l.queued {
 		l.queued = true
-		_ = l.el.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error { return l.round() }))
+		_ = l.el.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+			l.queued = false
+			l.round()
+			return nil
+		}))
 	}
 }
 
-func (l *Loop) round() error {
-	l.queued = false
-	if l.ending {
-		return gerrors.ErrEngineShutdown
+func (l *Loop) round() {
+	if l.phase == Ended {
+		return
 	}
 	// After a standstill all that waits is read first, so that the pause is not taken for load.
 	if l.read && l.gathers < mostGathers && !l.wake.IsZero() && time.Since(l.wake) > lateWake {
 		l.read = false
 		l.gathers++
 		l.mark()
-		return nil
+		return
 	}
 	l.read, l.gathers = false, 0
-	var end bool
-	l.guard("round", func() { l.wake, end = l.host.Round() })
+	phase := l.phase
+	l.guard("round", func() { l.wake, phase = l.host.Round() })
 	for n := 0; n < len(l.dirty); n++ { // flushing may close, and closing may write elsewhere
 		l.dirty[n].flush()
 	}
 	l.dirty = l.dirty[:0]
-	if end {
-		l.ending = true
-		l.mark()
+	if len(l.stuck) > 0 {
+		l.unstick()
+	}
+	if phase > Serving && l.phase == Serving {
+		l.log.Info("no longer listening")
+		l.listen.Close()
+	}
+	if l.phase = phase; phase == Ended {
+		l.log.Info("ended")
+		close(l.ended)
+		return
 	}
 	l.timer.Reset(max(time.Until(l.wake), 0))
-	return nil
+}
+
+// unstick closes the connections that leave too much unread, and the worst while all together hold too much.
+func (l *Loop) unstick() {
+	for {
+		var worst *conn
+		most, all := 0, 0
+		for c := range l.stuck {
+			n := c.g.OutboundBuffered()
+			if all += n; n == 0 {
+				delete(l.stuck, c)
+			} else if n > most {
+				worst, most = c, n
+			}
+		}
+		if most <= mostUnsent && all <= mostUnsentAll {
+			return
+		}
+		l.log.Warn("connection closed", zap.String("error", "peer does not read"), zap.Int("unsent", most))
+		delete(l.stuck, worst)
+		_ = l.el.Close(worst.g)
+	}
 }
 
 // Write puts bytes down for the end of the round.
@@ -280,20 +346,17 @@
 
 func (c *conn) flush() {
 	c.dirty = false
-	if len(c.out) > 0 {
-		if c.g.Context() == c {
-			_, _ = c.g.Write(c.out)
-		}
-		if c.out = c.out[:0]; cap(c.out) > keptBuffer {
-			c.out = nil
-		}
+	if c.g.Context() == c && len(c.out) > 0 {
+		_, _ = c.g.Write(c.out) // closes the connection itself if it fails
+	}
+	if c.out = c.out[:0]; cap(c.out) > keptBuffer {
+		c.out = nil
 	}
 	if c.g.Context() != c {
 		return // closed meanwhile
 	}
-	if c.g.OutboundBuffered() > mostUnsent {
-		c.l.log.Warn("connection closed", zap.String("error", "peer does not read"))
-		c.closing = true
+	if c.g.OutboundBuffered() > 0 {
+		c.l.stuck[c] = struct{}{}
 	}
 	if c.closing {
 		_ = c.l.el.Close(c.g)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"runtime/debug"
 
 	"slices"
 	"strconv"
@@ -15,18 +17,24 @@
 
 	"go.uber.org/zap"
 
+	"thymechute/internal/loop"
 	"thymechute/internal/told"
 	"thymechute/policy"
 )
 
 const (
-	mostItems    = 8192
-	mostReceipts = 100000
+	mostItems    = 4096
+	mostReceipts = 12000                  // with a result of 4 KiB each
 	afterEnd     = 2 * time.Second        // a receipt outlives its end by this, for what is read late
 	sweepEvery   = 500 * time.Millisecond // receipts
 	oldGauges    = 200 * time.Millisecond // readings older than this are not offered
 	quietBefore  = 200 * time.Millisecond // nothing may have come for so long before an early end
+	closeBefore  = 300 * time.Millisecond // before the kill: no further connection
+	closeFor     = 100 * time.Millisecond // what crossed the listener's end is answered for so long
 	lastCall     = 60 * time.Millisecond  // before the kill: the end at the latest
+	silence      = 60 * time.Millisecond  // a machine of which nothing is heard for so long stands still
+	mostSilence  = 105 * time.Millisecond // how late a Tick may be for it
+	wakeGap      = 20 * time.Millisecond  // to the next Tick where the module asked for none
 	longestWait  = time.Hour
 )
 
@@ -35,7 +43,7 @@
 	ErrBand     = errors.New("unknown band")
 	ErrCustomer = errors.New("unknown customer")
 	ErrTwice    = errors.New("id is in use")
-	ErrFull     = errors.New("tables are full")
+	ErrFull     = errors.New("no room") // or not up yet: it never ran
 )
 
 // Ask is a work item as a protocol hands it in.
@@ -161,10 +169,13 @@
 	gauges           policy.Gauges
 	gaugesAt, wake   time.Duration
 	swept, lastRead  time.Duration
-	began            time.Time // of the runtime
-	old              time.Duration
+	began            time.Time     // of the runtime, at the latest
+	first            time.Duration // when it was up
+	old, before      bool          // it had worked before; for a life of this instance that is known of
 	leaving          bool
 	killAt, graceEnd time.Duration
+	closedAt         time.Duration // the door; 0: not yet
+	asked, heard     time.Duration // for readings, the earliest unanswered; anything from anybody
 }
 
 type check struct {
@@ -187,36 +198,38 @@
 	return n
 }
 
-// Join connects the instance with its sides.
+// Connect joins the instance to its sides.
 func (n *Instance) Connect(r Runtime, b Below, f Front, c Reports) {
 	n.runtime, n.below, n.front, n.reports = r, b, f, c
 }
 
 func (n *Instance) put(f func()) { n.inbox = append(n.inbox, f) }
 
-// Round hands all that came to the module, then lets it act. It tells when to come again, and whether to end.
-func (n *Instance) Round() (time.Time, bool) {
+// Round hands all that came to the module, then lets it act. It tells when to come again, and its phase.
+func (n *Instance) Round() (time.Time, loop.Phase) {
 	clock := time.Now()
 	n.now = clock.Sub(n.start)
 	next := n.below.Sweep(clock)
 	inbox := n.inbox
-	n.inbox = nil
+	if n.inbox = nil; len(inbox) > 0 {
+		n.heard = n.now
+	}
 	for _, f := range inbox {
-		f()
+		n.guard(f)
 	}
 	if n.mod == nil {
 		n.reports.Sweep(clock, false)
 		n.front.Sweep(clock)
-		return clock.Add(100 * time.Millisecond), n.leaving
-	}
-	if n.now >= n.wake {
-		g := n.gauges
-		if n.now-n.gaugesAt > oldGauges {
-			g = policy.Gauges{Busy: -1, Runnable: -1}
+		if n.leaving {
+			return clock, loop.Ended
 		}
-		n.mod.Tick(n.now, g)
-		if n.runtime.Up() {
-			n.runtime.Gauges() // for the next one: nothing waits for readings
+		return clock.Add(sweepEvery), loop.Serving
+	}
+	at := n.wake
+	if n.now >= at {
+		if at = n.standstill(); n.now >= at {
+			n.tick()
+			at = n.wake
 		}
 	}
 	n.mod.Settle(n.now)
@@ -224,7 +237,7 @@
 		later := n.later
 		n.later = nil
 		for _, f := range later {
-			f()
+			n.guard(f)
 		}
 		n.mod.Settle(n.now)
 	}
@@ -233,21 +246,64 @@
 	}
 	n.reports.Sweep(clock, n.good && !n.leaving)
 	n.front.Sweep(clock)
-	if at := n.start.Add(n.wake); next.IsZero() || at.Before(next) {
+	if at := n.start.Add(at); next.IsZero() || at.Before(next) {
 		next = at
 	}
-	return next, n.leaving && n.done()
+	return next, n.phase()
+}
+
+// guard keeps a panic of one event from taking along those behind it.
+func (n *Instance) guard(f func()) {
+	defer func() {
+		if p := recover(); p != nil {
+			n.log.Error("panic", zap.String("cause", fmt.Sprint(p)), zap.ByteString("stack", debug.Stack()))
+		}
+	}()
+	f()
 }
 
-// done: a leaving server may end once nothing is owed and nothing that comes would run.
-func (n *Instance) done() bool {
-	if n.now >= n.killAt-lastCall {
-		return true
+func (n *Instance) tick() {
+	g := n.gauges
+	if n.now-n.gaugesAt > oldGauges {
+		g = policy.Gauges{Busy: -1, Runnable: -1}
 	}
-	if n.now < n.graceEnd || n.now-n.lastRead < quietBefore {
-		return false
+	n.wake = n.now + wakeGap
+	n.mod.Tick(n.now, g)
+	if n.runtime.Up() {
+		if n.asked <= n.gaugesAt {
+			n.asked = n.now
+		}
+		n.runtime.Gauges() // for the next one: nothing waits for readings
 	}
-	return !slices.ContainsFunc(n.items, func(it item) bool { return it.live && !it.answered && it.asker != nil })
+}
+
+// standstill tells when the Tick that is due may come. While the machine stands still the runtime owes its
+// readings and nobody is heard; timers stand still with it. A Tick that late tells the module so, and it is still
+// soon enough for every due time, whose margin and the rules' own slack are longer together.
+func (n *Instance) standstill() time.Duration {
+	if n.runtime.Up() && n.asked > n.gaugesAt && n.now-max(n.asked, n.heard) > silence {
+		return n.wake + mostSilence
+	}
+	return n.wake
+}
+
+// phase: a leaving server closes its door once nothing is owed and nothing that comes would run, or the kill is
+// near; it ends when what crossed that is answered.
+func (n *Instance) phase() loop.Phase {
+	if !n.leaving {
+		return loop.Serving
+	}
+	owes := slices.ContainsFunc(n.items, func(it item) bool { return it.live && !it.answered && it.asker != nil })
+	if n.closedAt == 0 && (n.now >= n.killAt-closeBefore || n.now >= n.graceEnd && n.now-n.lastRead > quietBefore && !owes) {
+		n.closedAt = n.now
+	}
+	switch {
+	case n.now >= n.killAt-lastCall, n.closedAt > 0 && n.now-n.closedAt > closeFor && !owes:
+		return loop.Ended
+	case n.closedAt > 0:
+		return loop.Closing
+	}
+	return loop.Serving
 }
 
 func (n *Instance) sweep() {
@@ -327,7 +383,7 @@
 	n.lastRead = n.now
 	if r := n.receipts[it.key]; it.key != "" && r != nil && n.now-work.Waited <= r.end {
 		work.Forerunner = r.w
-	} else if kind == "receipted" && ask.Again && n.now-work.Waited < n.old {
+	} else if kind == "receipted" && ask.Again && n.before && n.now-work.Waited < n.first+n.window(it.band) {
 		// The life before this one may have run an earlier try, and nothing of it is known here.
 		work.Forerunner = policy.GoneForerunner
 	}
@@ -370,40 +426,45 @@
 	}
 }
 
-// Ready: the runtime answers, as new or as one that has seen a life of this instance before; it began so long ago.
-func (n *Instance) Ready(old bool, ago time.Duration) {
-	began := time.Now().Add(-ago)
+// Ready: the runtime answers a sync that was sent at the time asked. It began so long ago, and is old where it has
+// worked before this life of the instance; a day starts with one that is.
+func (n *Instance) Ready(old bool, ago time.Duration, asked time.Time) {
+	earliest, latest := asked.Add(-ago), time.Now().Add(-ago)
 	n.put(func() {
 		if n.mod == nil {
 			n.log.Info("runtime up", zap.Bool("old", old), zap.Duration("ago", ago))
-			n.start = began // a cold machine warms from its runtime's start
-			n.now = time.Since(began)
-			if old {
-				n.old = n.now
-			}
+			n.start, n.began, n.old = latest, latest, old // a cold machine warms from its runtime's start
+			n.now = time.Since(n.start)
+			n.first, n.heard = n.now, n.now
 			n.mod = policy.New(n, n.seed, n.site.Told)
-		} else if began.Sub(n.began) > time.Second {
+			return
+		}
+		if earliest.After(n.began) {
 			n.log.Warn("runtime started anew: its runs are lost")
+			n.began = latest
 			for w := range n.items {
 				if it := &n.items[w]; it.live && it.sent {
 					n.ended(w, policy.Cancelled, 0, nil)
 				}
 			}
 		}
-		n.began = began
 	})
 }
 
-// Caught up: a new link has told all that was missed. What may not have reached the runtime is said again; a start
-// of what runs is nothing, while a reply that may have been taken is not given twice.
+// CaughtUp: a new link has told all that was missed. What may not have reached the runtime is said again: a start
+// of what runs is nothing, while a reply that may have been taken is not given twice, as the run may stand at its
+// next call by then.
 func (n *Instance) CaughtUp() {
 	n.put(func() {
 		for w := range n.items {
 			it := &n.items[w]
-			if !it.live {
+			switch {
+			case !it.live:
 				continue
-			}
-			if it.started && !it.confirmed {
+			case it.started && !it.sent && it.answered:
+				n.ended(w, policy.Moot, 0, nil)
+				continue
+			case it.started && !it.confirmed:
 				it.sent = true
 				n.runtime.Start(it.rid, n.site.Bands[it.band], it.body)
 			}
@@ -421,12 +482,28 @@
 // End is the end of a run.
 func (n *Instance) End(rid string, o policy.Outcome, took time.Duration, result []byte) {
 	n.put(func() {
-		if w, ok := n.byRid[rid]; ok && n.items[w].started {
+		if w, ok := n.known(rid); ok {
 			n.ended(w, o, took, result)
 		}
 	})
 }
 
+// known finds a run. A runtime that worked before and names one that was never here is at work for an earlier
+// life of this instance, beside which this one was started.
+func (n *Instance) known(rid string) (int, bool) {
+	w, ok := n.byRid[rid]
+	if !ok && n.old && !n.before {
+		n.before = true
+		n.log.Warn("runtime works for an earlier life: marked repeats of its window are not run", zap.String("task", rid))
+	}
+	return w, ok && n.items[w].started
+}
+
+func (n *Instance) window(band int) time.Duration {
+	s, _ := n.site.Told["band."+strconv.Itoa(band)+".window_s"].(float64)
+	return time.Duration(s * float64(time.Second))
+}
+
 func (n *Instance) ended(w int, o policy.Outcome, took time.Duration, result []byte) {
 	it := &n.items[w]
 	n.giveUp(it)
@@ -472,7 +549,7 @@
 // Wants: a run stands at a call.
 func (n *Instance) Wants(rid string, body []byte) {
 	n.put(func() {
-		if w, ok := n.byRid[rid]; ok && n.items[w].started {
+		if w, ok := n.known(rid); ok {
 			it := &n.items[w]
 			it.confirmed, it.call, it.give = true, body, nil
 			n.mod.AtCall(n.now, w)
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -354,7 +354,7 @@
 	case errors.Is(err, node.ErrCustomer):
 		return &Fault{codeParams, err}
 	case errors.Is(err, node.ErrFull):
-		return &Fault{codeFailed, err}
+		return &Fault{codeRefused, err}
 	}
 	return &Fault{codeRequest, err}
 }
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -108,7 +108,7 @@
 
 // Sink is told what the runtime says.
 type Sink interface {
-	Ready(old bool, ago time.Duration)
+	Ready(old bool, ago time.Duration, asked time.Time)
 	CaughtUp()
 	End(task string, o policy.Outcome, took time.Duration, result []byte)
 	Wants(task string, body []byte)
@@ -122,20 +122,20 @@
 
 // Link is the one connection to the runtime.
 type Link struct {
-	sink    Sink
-	dial    func(loop.Peer)
-	after   func(time.Duration, func())
-	log     *zap.Logger
-	spread  *rand.Rand
-	wire    loop.Wire // none while the link is broken
-	in      jsonline.Lines
-	last    uint64 // number of the last notice read
-	caught  bool   // the notices missed have been read
-	tag     string // of the reading behind them
-	links   int
-	odd     int
-	wait    time.Duration
-	stopped bool
+	sink   Sink
+	dial   func(loop.Peer)
+	after  func(time.Duration, func())
+	log    *zap.Logger
+	spread *rand.Rand
+	wire   loop.Wire // none while the link is broken
+	in     jsonline.Lines
+	last   uint64 // number of the last notice read
+	caught bool   // the notices missed have been read
+	tag    string // of the reading behind them
+	links  int
+	odd    int
+	wait   time.Duration
+	opened time.Time
 }
 
 // NewLink makes a link; dial opens a connection for it, after calls back on the loop later.
@@ -151,7 +151,7 @@
 
 // Opened says how far the notices were read.
 func (l *Link) Opened(w loop.Wire) {
-	l.wire, l.caught, l.odd = w, false, 0
+	l.wire, l.caught, l.odd, l.opened = w, false, 0, time.Now()
 	l.links++
 	l.tag = "sync" + strconv.Itoa(l.links)
 	l.in = jsonline.Lines{Longest: longestLine}
@@ -192,7 +192,7 @@
 	case "ready":
 		l.wait = leastWait
 		l.log.Info("runtime link", zap.String("outcome", n.Outcome), zap.Duration("spent", n.Spent))
-		l.sink.Ready(n.Outcome == "old", n.Spent)
+		l.sink.Ready(n.Outcome == "old", n.Spent, l.opened)
 		l.send("gauges", "", "", nil, l.tag) // its answer comes behind the notices that were missed
 	case "end":
 		if o, ok := ends[n.Outcome]; ok {
