--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -4,16 +4,33 @@
 	"strings"
 	"testing"
 	"time"
+
+	"thymechute/internal/aid"
 )
 
+func fresh(more map[string]any) (*Instance, *aid.Book) {
+	b := &aid.Book{}
+	return New(b, 7, aid.Told(more)), b
+}
+
+func of(band int) Work { return Work{Band: band, KB: 10, Forerunner: NoForerunner} }
+
+// busy fills the cores with work items from index at, and holds n more.
+func busy(i *Instance, band, n int) {
+	for w := range 2 + n {
+		i.Arrived(0, w, of(band))
+	}
+	i.Settle(0)
+}
+
 func TestFlagRefusesAtEntryOnlyWhileSomethingWaits(t *testing.T) {
 	i, b := fresh(nil)
 	busy(i, 0, 0)
 	i.flag = true
 	i.Arrived(0, 5, of(0))
-	b.wants(t, 0, "back 5")
+	b.Wants(t, 0, "back 5")
 	i.Arrived(0, 6, of(0))
-	b.wants(t, 1, "back 6")
+	b.Wants(t, 1, "back 6")
 }
 
 func TestFlagSparesTheNewcomerThatIsWorthMore(t *testing.T) {
@@ -21,8 +38,8 @@
 	busy(i, 0, 1)
 	i.flag = true
 	i.Arrived(0, 5, of(2))
-	b.wants(t, 1, "back 2")
-	b.wants(t, 0, "back 5")
+	b.Wants(t, 1, "back 2")
+	b.Wants(t, 0, "back 5")
 }
 
 func TestFlagNeedsSeveralCrossings(t *testing.T) {
@@ -65,20 +82,20 @@
 	i.AtCall(10*ms, 1)
 	i.Arrived(10*ms, 3, Work{KB: 1, Forerunner: GoneForerunner, Band: 1})
 	i.Tick(2990*ms, Gauges{Busy: -1})
-	b.wants(t, 1, "scrap 0")
-	b.wants(t, 1, "scrap 1")
-	b.wants(t, 1, "back 2")
-	b.wants(t, 1, "scrap 3")
+	b.Wants(t, 1, "scrap 0")
+	b.Wants(t, 1, "scrap 1")
+	b.Wants(t, 1, "back 2")
+	b.Wants(t, 1, "scrap 3")
 	i.Tick(3100*ms, Gauges{Busy: -1})
-	b.wants(t, 1, "scrap 0")
+	b.Wants(t, 1, "scrap 0")
 }
 
 func TestReceiptIsRecordedBeforeTheRun(t *testing.T) {
 	i, b := fresh(nil)
 	i.Arrived(0, 0, of(1))
 	i.Settle(0)
-	if len(b.lines) < 3 || b.lines[1] != "record 0 for 10.08s" || b.lines[2] != "start 0" {
-		t.Errorf("%q", b.lines)
+	if len(b.Lines) < 3 || b.Lines[1] != "record 0 for 10.08s" || b.Lines[2] != "start 0" {
+		t.Errorf("%q", b.Lines)
 	}
 }
 
@@ -89,19 +106,19 @@
 	i.Arrived(0, 1, Work{Band: 1, KB: 10, Forerunner: 0})
 	i.Arrived(0, 2, Work{Band: 1, KB: 10, Forerunner: GoneForerunner})
 	i.Settle(0)
-	b.wants(t, 1, "join 1")
-	b.wants(t, 1, "join 2")
-	b.wants(t, 1, "start 0")
-	b.wants(t, 0, "start 1")
+	b.Wants(t, 1, "join 1")
+	b.Wants(t, 1, "join 2")
+	b.Wants(t, 1, "start 0")
+	b.Wants(t, 0, "start 1")
 }
 
 func TestRepeatOfAHeldOneTakesItsPlace(t *testing.T) {
 	i, b := fresh(nil)
 	busy(i, 1, 1)
 	i.Arrived(0, 9, Work{Band: 1, KB: 10, Forerunner: 2})
-	b.wants(t, 1, "back 2")
-	b.wants(t, 0, "forget 2")
-	b.wants(t, 1, "record 9")
+	b.Wants(t, 1, "back 2")
+	b.Wants(t, 0, "forget 2")
+	b.Wants(t, 1, "record 9")
 	if len(i.receipts) != 3 {
 		t.Errorf("%d receipts, want 3", len(i.receipts))
 	}
@@ -110,8 +127,8 @@
 func TestNoRunWhereTheReceiptDoesNotFit(t *testing.T) {
 	i, b := fresh(map[string]any{"memory_kb": 30.0})
 	i.Arrived(0, 0, of(1))
-	b.wants(t, 1, "back 0")
-	b.wants(t, 0, "record 0")
+	b.Wants(t, 1, "back 0")
+	b.Wants(t, 0, "record 0")
 }
 
 func TestWhatHasRunIsScrappedNotTurnedBack(t *testing.T) {
@@ -121,10 +138,10 @@
 	i.AtCall(0, 0)
 	i.Settle(0)
 	i.Returned(5*ms, 0, TimedOut, 5*ms)
-	b.wants(t, 1, "scrap 0")
-	b.wants(t, 0, "back 0")
+	b.Wants(t, 1, "scrap 0")
+	b.Wants(t, 0, "back 0")
 	i.Settle(5 * ms)
-	b.wants(t, 1, "call 0")
+	b.Wants(t, 1, "call 0")
 }
 
 func TestCallThatNeverRanIsRepeated(t *testing.T) {
@@ -135,7 +152,7 @@
 	i.Settle(0)
 	i.Returned(5*ms, 0, Full, 5*ms)
 	i.Settle(5 * ms)
-	b.wants(t, 2, "call 0")
+	b.Wants(t, 2, "call 0")
 }
 
 func TestNothingPastTheGraceRuns(t *testing.T) {
@@ -144,9 +161,9 @@
 	i.Arrived(900*ms, 0, of(0))
 	i.Arrived(1100*ms, 1, of(0))
 	i.Settle(1100 * ms)
-	b.wants(t, 1, "start 0")
-	b.wants(t, 1, "back 1")
-	b.wants(t, 0, "start 1")
+	b.Wants(t, 1, "start 0")
+	b.Wants(t, 1, "back 1")
+	b.Wants(t, 0, "start 1")
 }
 
 func TestAllIsAnsweredBeforeTheStop(t *testing.T) {
@@ -154,9 +171,9 @@
 	busy(i, 0, 1)
 	i.Leave(0, 500*ms)
 	i.Tick(420*ms, Gauges{Busy: -1})
-	b.wants(t, 1, "scrap 0")
-	b.wants(t, 1, "scrap 1")
-	b.wants(t, 1, "back 2")
+	b.Wants(t, 1, "scrap 0")
+	b.Wants(t, 1, "scrap 1")
+	b.Wants(t, 1, "back 2")
 }
 
 func TestColdCrowdIsSmaller(t *testing.T) {
@@ -176,7 +193,7 @@
 	if i.memory > 95 {
 		t.Errorf("%.0f of 100 kB in use", i.memory)
 	}
-	b.wants(t, 1, "start 0")
+	b.Wants(t, 1, "start 0")
 }
 
 func TestCallsStayWithinTheShareWithLingeringOnes(t *testing.T) {
@@ -185,15 +202,15 @@
 	i.AtCall(0, 0)
 	i.AtCall(0, 1)
 	i.Settle(0)
-	b.wants(t, 2, "call")
+	b.Wants(t, 2, "call")
 	i.Returned(50*ms, 0, TimedOut, 50*ms)
 	i.Settle(60 * ms)
-	b.wants(t, 2, "call")
+	b.Wants(t, 2, "call")
 	i.Tick(260*ms, Gauges{Busy: -1})
 	i.Settle(260 * ms)
-	b.wants(t, 2, "call")
+	b.Wants(t, 2, "call")
 	i.Settle(400 * ms)
-	b.wants(t, 3, "call")
+	b.Wants(t, 3, "call")
 }
 
 func TestShareUnderOneSpacesSingleCallsByTheirOwnTime(t *testing.T) {
@@ -204,13 +221,13 @@
 	i.Settle(0)
 	i.Returned(100*ms, 0, OK, 100*ms)
 	i.Settle(390 * ms)
-	b.wants(t, 1, "call")
+	b.Wants(t, 1, "call")
 	i.Settle(450 * ms)
-	b.wants(t, 2, "call")
+	b.Wants(t, 2, "call")
 	i.Returned(460*ms, 1, OK, 10*ms)
 	i.AtCall(460*ms, 0)
 	i.Settle(500 * ms)
-	b.wants(t, 3, "call")
+	b.Wants(t, 3, "call")
 }
 
 func TestCallsStopAfterFailuresAndReturnByOneTrial(t *testing.T) {
@@ -220,12 +237,12 @@
 	i.AtCall(0, 0)
 	i.AtCall(0, 1)
 	i.Settle(0)
-	b.wants(t, 0, "call")
+	b.Wants(t, 0, "call")
 	i.Settle(300 * ms)
-	b.wants(t, 1, "call")
+	b.Wants(t, 1, "call")
 	i.Returned(310*ms, 0, OK, 10*ms)
 	i.Settle(310 * ms)
-	b.wants(t, 2, "call")
+	b.Wants(t, 2, "call")
 }
 
 func TestHeldStartByPayoffOverWork(t *testing.T) {
@@ -235,8 +252,8 @@
 	i.Arrived(0, 6, of(2))
 	i.Ended(10*ms, 0, Failed, 10*ms)
 	i.Settle(10 * ms)
-	b.wants(t, 1, "start 6")
-	b.wants(t, 0, "start 5")
+	b.Wants(t, 1, "start 6")
+	b.Wants(t, 0, "start 5")
 }
 
 func TestCustomerBeyondItsShareComesLast(t *testing.T) {
@@ -250,7 +267,7 @@
 	i.Arrived(0, 6, other)
 	i.Ended(10*ms, 0, Failed, 10*ms)
 	i.Settle(10 * ms)
-	b.wants(t, 1, "start 6")
+	b.Wants(t, 1, "start 6")
 }
 
 func TestFreeValueFallsWhenNothingWaits(t *testing.T) {
@@ -258,21 +275,21 @@
 	i.shed, i.flag = 0.5, true
 	i.adjust()
 	i.say(0)
-	b.wants(t, 1, "free 0.400")
+	b.Wants(t, 1, "free 0.400")
 	i.turned, i.missed, i.read = 10, 10, 20
 	i.adjust()
 	i.say(0)
-	b.wants(t, 1, "free 0.490")
+	b.Wants(t, 1, "free 0.490")
 }
 
 func TestAbsurdSettingsDoNoHarm(t *testing.T) {
-	b := &book{}
+	b := &aid.Book{}
 	i := New(b, 0, map[string]any{"cores": -1.0, "memory_kb": "x", "band.count": 1e12, "fleet": 0.0})
 	i.Arrived(0, 0, of(0))
 	i.Arrived(0, 1, of(5000))
 	i.Settle(0)
-	b.wants(t, 1, "start 0")
-	b.wants(t, 1, "back 1")
+	b.Wants(t, 1, "start 0")
+	b.Wants(t, 1, "back 1")
 }
 
 func TestStarvedHoldCountsInLag(t *testing.T) {
@@ -290,7 +307,7 @@
 	i, b := fresh(map[string]any{"free_value": "threshold"})
 	i.unread = 0.5
 	i.Tick(sweepGap, Gauges{Busy: -1, Runnable: -1})
-	b.wants(t, 1, "free 1.000")
+	b.Wants(t, 1, "free 1.000")
 	if got := i.room(0); got != 1 {
 		t.Errorf("%d may start in a full jam, want half of two", got)
 	}
@@ -313,10 +330,10 @@
 func TestNewcomerWorthMoreDisplacesWhereMemoryIsShort(t *testing.T) {
 	i, b := fresh(map[string]any{"memory_kb": 140.0})
 	busy(i, 0, 4)
-	b.wants(t, 0, "back")
+	b.Wants(t, 0, "back")
 	i.Arrived(0, 9, of(2))
-	b.wants(t, 1, "back 2")
-	b.wants(t, 0, "back 9")
+	b.Wants(t, 1, "back 2")
+	b.Wants(t, 0, "back 9")
 }
 
 func TestCutOffRunsAreLearned(t *testing.T) {
@@ -336,19 +353,19 @@
 	long.Hint = 5 * time.Second
 	i.Arrived(0, 0, long)
 	i.Settle(0)
-	b.wants(t, 1, "start 0")
+	b.Wants(t, 1, "start 0")
 	i.Arrived(0, 1, long)
 	i.Settle(0)
-	b.wants(t, 1, "back 1")
+	b.Wants(t, 1, "back 1")
 }
 
 func TestLeavingServerServesUntilItsGraceEnds(t *testing.T) {
 	i, b := fresh(map[string]any{"free_value": "threshold"})
 	i.Leave(0, 5*time.Second)
 	i.Tick(100*ms, Gauges{Busy: -1})
-	b.wants(t, 0, "free")
+	b.Wants(t, 0, "free")
 	i.Tick(600*ms, Gauges{Busy: -1})
-	b.wants(t, 1, "free 1.000")
+	b.Wants(t, 1, "free 1.000")
 }
 
 func TestJamEndsWhenACoreIsFreeToRead(t *testing.T) {
@@ -384,8 +401,8 @@
 	i.AtCall(0, 0)
 	i.AtCall(0, 1)
 	i.Settle(0)
-	b.wants(t, 1, "omit 0")
-	b.wants(t, 1, "call 1")
+	b.Wants(t, 1, "omit 0")
+	b.Wants(t, 1, "call 1")
 }
 
 func TestSlowCallsUseLessOfTheShare(t *testing.T) {
@@ -410,18 +427,18 @@
 	i.AtCall(0, 0)
 	i.Arrived(0, 1, of(2))
 	i.Settle(140 * ms)
-	b.wants(t, 0, "omit 0")
-	b.wants(t, 0, "start 1")
+	b.Wants(t, 0, "omit 0")
+	b.Wants(t, 0, "start 1")
 	i.Settle(160 * ms)
-	b.wants(t, 1, "omit 0")
-	b.wants(t, 1, "start 1")
+	b.Wants(t, 1, "omit 0")
+	b.Wants(t, 1, "start 1")
 }
 
 func TestJammedServerRefusesThoughNothingWaits(t *testing.T) {
 	i, b := fresh(nil)
 	i.unread = 10
 	i.Arrived(0, 0, of(0))
-	b.wants(t, 1, "back 0")
+	b.Wants(t, 1, "back 0")
 }
 
 func TestCallsTurnedAwayAtOnceAreNoFastCalls(t *testing.T) {
@@ -437,35 +454,35 @@
 }
 
 func TestNoBandsTold(t *testing.T) {
-	b := &book{}
+	b := &aid.Book{}
 	i := New(b, 0, map[string]any{"band.count": 0.0})
 	i.Tick(sweepGap, Gauges{Busy: -1})
 	i.Arrived(sweepGap, 0, of(0))
-	b.wants(t, 0, "back 0")
+	b.Wants(t, 0, "back 0")
 }
 
 func TestRepeatsDoNotFillTheMemory(t *testing.T) {
 	i, b := fresh(nil)
 	i.memory = 949
 	i.Arrived(0, 0, Work{Band: 1, KB: 10, Forerunner: GoneForerunner})
-	b.wants(t, 0, "join 0")
-	b.wants(t, 0, "back 0")
-	b.wants(t, 1, "scrap 0")
+	b.Wants(t, 0, "join 0")
+	b.Wants(t, 0, "back 0")
+	b.Wants(t, 1, "scrap 0")
 }
 
 func TestIdleConnectionsGoSoonerWhereTheCoresHaveRoom(t *testing.T) {
 	i, b := fresh(map[string]any{"idle_s": 30.0, "callers": 1000.0})
 	i.busy = 0.5
 	i.doors(Gauges{Busy: 0.5})
-	b.wants(t, 1, "idle 8s")
+	b.Wants(t, 1, "idle 8s")
 	i.busy, i.read = 1, 0
 	i.doors(Gauges{Busy: 1})
-	b.wants(t, 1, "idle 30s")
+	b.Wants(t, 1, "idle 30s")
 	i.doors(Gauges{Busy: -1})
-	b.wants(t, 2, "idle")
+	b.Wants(t, 2, "idle")
 	i.busy, i.sends = 0.5, 100
 	i.doors(Gauges{Busy: 0.5})
-	b.wants(t, 2, "idle")
+	b.Wants(t, 2, "idle")
 }
 
 func TestShareUnderOneItemInTwoSecondsCanBeMet(t *testing.T) {
@@ -499,13 +516,13 @@
 			t.Errorf("%v: lag %v, shed %v, calls over by %v", absurd, i.lag, i.shed, i.overCalled)
 		}
 		answers := 0
-		for _, l := range b.lines {
+		for _, l := range b.Lines {
 			if strings.HasPrefix(l, "back 0 ") || l == "scrap 0" {
 				answers++
 			}
 		}
 		if answers != 1 || len(i.customers) > 10000 {
-			t.Errorf("%v: %d answers, want 1, in %q", absurd, answers, b.lines)
+			t.Errorf("%v: %d answers, want 1, in %q", absurd, answers, b.Lines)
 		}
 	}
 }
