--- /dev/null
+++ b/cmd/thymechute/main_test.go
@@ -0,0 +1,350 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+
+	"thymechute/internal/aid"
+)
+
+const body, reply, result = "\x00\xff body\n", "a reply\r\n", "the \"result\"\x01"
+
+func TestServedWithItsCallBytesUnchanged(t *testing.T) {
+	w := aid.Serve(t, nil)
+	s := w.Stub()
+	s.Ask(1, "trace", "aa01", body, "")
+	if task, got := w.Runtime.Command("start"); task != "aa01" || got != body {
+		t.Errorf("started %s with %q", task, got)
+	}
+	w.Runtime.Wants(1, "aa01", "call \r\n")
+	w.Index.Accept()
+	if rid, got := w.Index.Get(); rid != "aa01" || got != "call \r\n" {
+		t.Errorf("called for %s with %q", rid, got)
+	}
+	w.Index.Send("aa01 HIT %d\r\n%s\r\n", len(reply), reply)
+	if task, got := w.Runtime.Command("give"); task != "aa01" || got != reply {
+		t.Errorf("gave %s %q", task, got)
+	}
+	w.Runtime.End(2, "aa01", "good", result)
+	s.Wants(1, 0, result)
+	if word := aid.Next(t, w.Words, "a report"); !strings.HasPrefix(word, "alive n3 ") {
+		t.Errorf("reported %q", word)
+	}
+}
+
+func TestAnswersComeInAnyOrderAndOnlyOnce(t *testing.T) {
+	w := aid.Serve(t, nil)
+	s := w.Stub()
+	for id := 1; id <= 3; id++ {
+		s.Ask(id, "trace", fmt.Sprintf("aa%d", id), body, "")
+		w.Runtime.Command("start")
+	}
+	for n, id := range []int{3, 1, 2} {
+		w.Runtime.End(n+1, fmt.Sprintf("aa%d", id), "good", result)
+		s.Wants(id, 0, result)
+	}
+	w.Runtime.End(4, "aa1", "good", result) // once more: ignored
+	s.Send(`{"jsonrpc":"2.0","id":9,"method":"check","params":{"full":true}}`)
+	if r, _ := s.Read(); r.ID != 9.0 || !r.Result.Serving {
+		t.Errorf("got %+v, want a good health check", r)
+	}
+}
+
+func TestTurnedBackWhereItDoesNotFit(t *testing.T) {
+	w := aid.Serve(t, func(given map[string]any) {
+		given["settings"].(map[string]any)["domain"].(map[string]any)["ram_kb"] = 5
+	})
+	s := w.Stub()
+	s.Ask(1, "trace", "aa01", body, "")
+	if r := s.Wants(1, -32001, ""); r.Error.Data.Backoff < 1 {
+		t.Errorf("no word when to come back: %+v", r.Error)
+	}
+}
+
+func TestRepeatIsFulfilledFromItsForerunner(t *testing.T) {
+	w := aid.Serve(t, nil)
+	s, other := w.Stub(), w.Stub()
+	const token = `,"token":"5c0f"`
+	s.Ask(1, "excursion", "aa01", body, token)
+	w.Runtime.Command("start")
+	other.Ask(1, "excursion", "aa02", body, token+`,"again":1`)
+	s.Ask(2, "excursion", "bb01", body, `,"token":"77"`) // proves that the repeat before it was not started
+	if task, _ := w.Runtime.Command("start"); task != "bb01" {
+		t.Errorf("%s was started", task)
+	}
+	s.Conn.Close() // the first try's caller goes: its run counts all the same
+	w.Runtime.End(1, "aa01", "good", result)
+	other.Wants(1, 0, result)
+	other.Ask(2, "excursion", "aa03", body, token+`,"again":1`)
+	other.Wants(2, 0, result)
+}
+
+func TestRepeatOfWhatFailedIsNotRun(t *testing.T) {
+	w := aid.Serve(t, nil)
+	s := w.Stub()
+	s.Ask(1, "excursion", "aa01", body, `,"token":"5c0f"`)
+	w.Runtime.Command("start")
+	w.Runtime.End(1, "aa01", "bad", "")
+	s.Wants(1, -32000, "")
+	s.Ask(2, "excursion", "aa02", body, `,"token":"5c0f","again":1`)
+	s.Wants(2, -32000, "")
+}
+
+func TestLinkBreaksAndNoticesCountOnce(t *testing.T) {
+	w := aid.Serve(t, nil)
+	s := w.Stub()
+	for id := 1; id <= 3; id++ {
+		s.Ask(id, "seal", fmt.Sprintf("aa%d", id), body, "")
+		w.Runtime.Command("start")
+	}
+	w.Runtime.End(1, "aa1", "good", "one")
+	s.Wants(1, 0, "one")
+	w.Runtime.Send(`{"verb":"end","index":2,"task":"aa2","out`) // broken at any byte
+	w.Runtime.Break()
+	// What ended meanwhile is not started again; what is not known of is, as its start may not have come.
+	w.Runtime.Sync(1, "new", 50, aid.EndLine(1, "aa1", "good", "one"), aid.EndLine(2, "aa2", "good", "two"))
+	s.Wants(2, 0, "two")
+	if task, _ := w.Runtime.Command("start"); task != "aa3" {
+		t.Errorf("%s was started again", task)
+	}
+	w.Runtime.End(3, "aa3", "good", "three")
+	s.Wants(3, 0, "three")
+}
+
+func TestReplyThatMayHaveBeenTakenIsNotGivenTwice(t *testing.T) {
+	w := aid.Serve(t, nil)
+	s := w.Stub()
+	s.Ask(1, "seal", "aa01", body, "")
+	w.Runtime.Command("start")
+	w.Runtime.Wants(1, "aa01", "call")
+	w.Index.Accept()
+	w.Index.Get()
+	w.Index.Send("aa01 HIT 1\r\nx\r\n")
+	w.Runtime.Command("give")
+	w.Runtime.Break()
+	w.Runtime.Sync(1, "new", 50)
+	s.Ask(2, "seal", "bb01", body, "")
+	if task, _ := w.Runtime.Command("start"); task != "bb01" { // neither start nor give of the first
+		t.Errorf("%s was started", task)
+	}
+}
+
+func TestRuntimeStartedAnewHasLostItsRuns(t *testing.T) {
+	w := aid.Serve(t, nil)
+	s := w.Stub()
+	s.Ask(1, "trace", "aa01", body, "")
+	w.Runtime.Command("start")
+	w.Runtime.Break()
+	w.Runtime.Sync(0, "new", 0)
+	s.Wants(1, -32000, "") // scrapped: it may have run
+}
+
+func TestRuntimeThatComesUpLate(t *testing.T) {
+	w := aid.NewWorld(t, nil)
+	w.Program = aid.Start(t, w.Given)
+	s := w.Stub()
+	s.Send(`{"jsonrpc":"2.0","id":1,"method":"check"}`)
+	if r, _ := s.Read(); r.Code() != 0 || r.Result.Serving {
+		t.Errorf("serves without a runtime: %+v", r)
+	}
+	s.Ask(2, "trace", "aa01", body, "")
+	s.Wants(2, -32001, "")
+	w.Runtime.Sync(0, "old", 1000)
+	s.Ask(3, "trace", "aa02", body, "")
+	w.Runtime.Command("start")
+}
+
+func TestRestartBesideARuntimeAtWorkDoesNotRunRepeats(t *testing.T) {
+	w := aid.Serve(t, nil)
+	s := w.Stub()
+	s.Ask(1, "excursion", "aa01", body, `,"token":"5c0f"`)
+	w.Runtime.Command("start")
+	_ = w.Program.Cmd.Process.Kill()
+	w.Program.Exit()
+	w.Program = aid.Start(t, w.Given)
+	w.Runtime.Sync(0, "old", 5000, aid.EndLine(1, "aa01", "good", result)) // of the life before
+	s = w.Stub()
+	s.Ask(1, "excursion", "aa02", body, `,"token":"5c0f","again":1`)
+	s.Wants(1, -32000, "")
+	s.Ask(2, "excursion", "bb01", body, `,"token":"77"`)
+	if task, _ := w.Runtime.Command("start"); task != "bb01" {
+		t.Errorf("%s was started", task)
+	}
+}
+
+func TestCallIsRepeatedOnlyIfItNeverRan(t *testing.T) {
+	w := aid.Serve(t, nil)
+	s := w.Stub()
+	address := w.Index.Address
+	w.Index.Down() // refused: nothing ran
+	s.Ask(1, "seal", "aa01", body, "")
+	w.Runtime.Command("start")
+	w.Runtime.Wants(1, "aa01", "call")
+	w.Index.Listen(address)
+	w.Index.Accept()
+	w.Index.Get()
+	for _, word := range []string{"SHED", "NOBODY"} {
+		w.Index.Send("aa01 %s\r\n", word)
+		if _, got := w.Index.Get(); got != "call" {
+			t.Errorf("after %s called with %q", word, got)
+		}
+	}
+	w.Index.Send("aa01 BROKEN\r\n")
+	s.Wants(1, -32000, "")
+}
+
+func TestCallBrokenInItsReplyMayHaveRun(t *testing.T) {
+	w := aid.Serve(t, nil)
+	s := w.Stub()
+	s.Ask(1, "seal", "aa01", body, "")
+	w.Runtime.Command("start")
+	w.Runtime.Wants(1, "aa01", "call")
+	w.Index.Accept()
+	w.Index.Get()
+	w.Index.Send("aa01 HIT 9\r\nhal")
+	w.Index.Break()
+	s.Wants(1, -32000, "")
+}
+
+func TestLeaveAnswersWhatWasReadAndEnds(t *testing.T) {
+	w := aid.Serve(t, nil)
+	s := w.Stub()
+	s.Ask(1, "trace", "aa01", body, "")
+	s.Ask(2, "trace", "aa02", body, "")
+	w.Runtime.Command("start")
+	w.Runtime.Command("start")
+	w.Program.Term()
+	if r, _ := s.Read(); r.Method != "closing" {
+		t.Errorf("got %+v, want closing", r)
+	}
+	w.Runtime.End(1, "aa01", "good", result)
+	s.Wants(1, 0, result)
+	s.Wants(2, -32000, "") // it never ends: scrapped before the stop
+	if code := w.Program.Exit(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	if c, err := net.Dial("tcp", w.Listen); err == nil {
+		c.Close()
+		t.Error("still listening")
+	}
+	aid.Until(t, w.Words, "a report that it leaves", func(word string) bool { return word == "alive n3 critical" })
+}
+
+func TestBadInputFromAStub(t *testing.T) {
+	w := aid.Serve(t, nil)
+	s := w.Stub()
+	const params = `"params":{"rid":"aa01","t0":1,"acct":"acme","mem":10,"prio":0.5,"doc":"AA=="`
+	for line, code := range map[string]int{
+		`{"jsonrpc":"2.0","id":1,`:                                                                            -32700,
+		`{"id":1,"method":"trace",` + params + `}}`:                                                           -32600,
+		`{"jsonrpc":"2.0","id":1,"method":"nothing",` + params + `}}`:                                         -32601,
+		`{"jsonrpc":"2.0","id":1,"method":"trace","params":[]}`:                                               -32602,
+		`{"jsonrpc":"2.0","id":1,"method":"trace",` + params + `,"acct":"who"}}`:                              -32602,
+		`{"jsonrpc":"2.0","id":1,"method":"trace",` + params + `,"doc":"*"}}`:                                 -32602,
+		`{"jsonrpc":"2.0","id":1,"method":"trace",` + params + `,"rid":"a b\r\nSTOP"}}`:                       -32602,
+		`{"jsonrpc":"2.0","id":1,"method":"trace",` + params + `,"mem":-1}}`:                                  -32602,
+		`{"jsonrpc":"2.0","id":1,"method":"trace",` + params + `,"doc":"` + strings.Repeat("A", 2800) + `"}}`: -32602,
+	} {
+		s.Send("%s", line)
+		if r, closed := s.Read(); closed || r.Code() != code {
+			t.Errorf("%s: got %+v (closed %v), want %d", line, r, closed, code)
+		}
+	}
+	s.Ask(2, "trace", "aa02", body, "")
+	w.Runtime.Command("start")
+	s.Ask(2, "trace", "aa03", body, "") // its id is open
+	s.Wants(2, -32600, "")
+	s.Ask(3, "trace", "aa02", body, "")
+	s.Wants(3, -32600, "")
+	w.Runtime.End(1, "aa02", "good", result)
+	s.Wants(2, 0, result)
+	s.Send("%s", strings.Repeat("x", 10000)) // can't be framed: this connection ends, and no other
+	if _, closed := s.Read(); !closed {
+		t.Error("the connection stays open after an endless line")
+	}
+	s = w.Stub()
+	s.Ask(1, "trace", "aa05", body, `,"unheard":{"of":[1,"\u00e9"]}`)
+	w.Runtime.Command("start")
+}
+
+func TestBadInputFromRuntimeAndIndex(t *testing.T) {
+	w := aid.Serve(t, nil)
+	s := w.Stub()
+	s.Ask(1, "seal", "aa01", body, "")
+	w.Runtime.Command("start")
+	w.Runtime.Send(`{"verb":"hum"}` + "\n" + `{"verb":"end","index":1,"task":"zz","outcome":"good"}` + "\n")
+	w.Runtime.Wants(2, "aa01", "call")
+	w.Runtime.Wants(2, "aa01", "another") // repeated: ignored
+	w.Index.Accept()
+	if _, got := w.Index.Get(); got != "call" {
+		t.Errorf("called with %q", got)
+	}
+	w.Index.Send("zz HIT 1\r\nx\r\naa01 WHAT\r\nno reply at all\n")
+	w.Index.Gone()
+	s.Wants(1, -32000, "")
+	w.Runtime.Send("no notice\n")
+	w.Runtime.Gone()
+	w.Runtime.Sync(2, "new", 50)
+	s.Ask(2, "seal", "aa02", body, "")
+	w.Runtime.Command("start")
+}
+
+func TestConnectionsOverTheLimitAreClosedAndLaterOnesServed(t *testing.T) {
+	w := aid.Serve(t, func(given map[string]any) { given["limits"].(map[string]any)["sockets"] = 64 })
+	var open []*aid.Stub
+	for range 64 - keptBack {
+		s := w.Stub()
+		s.Send(`{"jsonrpc":"2.0","id":1,"method":"check"}`)
+		if r, closed := s.Read(); closed || !r.Result.Serving {
+			t.Fatalf("connection %d: %+v, closed %v", len(open), r, closed)
+		}
+		open = append(open, s)
+	}
+	for range 100 {
+		if _, closed := w.Stub().Read(); !closed {
+			t.Fatal("a connection over the limit stays open")
+		}
+	}
+	open[0].Ask(2, "trace", "aa01", body, "")
+	w.Runtime.Command("start")
+	for _, s := range open[1:] {
+		s.Conn.Close()
+	}
+	for served := false; !served; { // the program hears of the closed ones in its own time
+		s := w.Stub()
+		s.Send(`{"jsonrpc":"2.0","id":1,"method":"check"}`)
+		r, closed := s.Read()
+		served = !closed && r.Result.Serving
+	}
+}
+
+func TestStubThatDoesNotReadIsClosedAndOthersServed(t *testing.T) {
+	w := aid.Serve(t, nil)
+	s, other := w.Stub(), w.Stub()
+	go func() { // until the program ends this connection, as its answers pile up
+		for {
+			if _, err := s.Conn.Write([]byte(strings.Repeat("{}\n", 1000))); err != nil {
+				return
+			}
+		}
+	}()
+	for id := 1; ; id++ {
+		other.Send(`{"jsonrpc":"2.0","id":%d,"method":"check"}`, id)
+		if r, closed := other.Read(); closed || !r.Result.Serving {
+			t.Fatalf("%+v, closed %v", r, closed)
+		}
+		if strings.Contains(w.Program.Log(), "peer does not read") {
+			return
+		}
+	}
+}
+
+func TestFaultyConfigurationEndsWithTheKey(t *testing.T) {
+	w := aid.NewWorld(t, func(given map[string]any) { given["stop_ms"] = "soon" })
+	p := aid.Start(t, w.Given)
+	if code := p.Exit(); code != 2 || strings.Count(p.Log(), "\n") != 1 || !strings.Contains(p.Log(), `stop_ms: found "soon"`) {
+		t.Errorf("exit code %d, %q", code, p.Log())
+	}
+}
--- a/internal/aid/aid.go
+++ b/internal/aid/aid.go
@@ -342,7 +342,7 @@
 	}
 }
 
-// Sync takes a link of the program, answers its sync and returns the number in it.
+// Sync takes a link of the program, whose sync must name that notice, and waits until the program is up.
 func (p *Party) Sync(want int, state string, ago int, missed ...string) {
 	p.t.Helper()
 	p.Accept()
@@ -353,6 +353,7 @@
 	for _, line := range missed {
 		p.Send("%s\n", line)
 	}
+	p.command("gauges") // comes behind what the program did with the notices
 }
 
 // Command waits for a command of that verb, and answers the gauges asked for meanwhile.
