--- a/internal/aid/aid.go
+++ b/internal/aid/aid.go
@@ -211,8 +211,8 @@
 	}()
 	t.Cleanup(func() {
 		_ = p.Cmd.Process.Kill()
-		if t.Failed() {
-			t.Log(p.Log())
+		if log := p.Log(); t.Failed() || strings.Contains(log, "DATA RACE") || strings.Contains(log, "panic") {
+			t.Error(log)
 		}
 	})
 	return p
@@ -371,9 +371,9 @@
 
 func (p *Party) command(verb string) map[string]any {
 	p.t.Helper()
-	for {
+	for end := time.Now().Add(patience); ; {
 		line, err := p.line()
-		if err != nil {
+		if err != nil || time.Now().After(end) {
 			p.t.Fatalf("no %s: %v", verb, err)
 		}
 		var m map[string]any
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,69 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"thymechute/internal/aid"
+)
+
+// load reads a whole configuration with one change.
+func load(t *testing.T, change func(file, limits map[string]any)) (Given, error) {
+	t.Helper()
+	limits := map[string]any{"cores": 0.5, "memory_mb": 64, "sockets": 128, "unheard": 1}
+	file := map[string]any{"name": "n3", "listen": "127.0.0.1:80", "runtime": "127.0.0.1:81", "index": "127.0.0.1:82",
+		"directory": "127.0.0.1:83", "seed": "8c1f30d27a5be964", "stop_ms": 3200, "limits": limits,
+		"settings": aid.Settings(), "unheard": []any{}}
+	change(file, limits)
+	text, _ := json.Marshal(file)
+	path := filepath.Join(t.TempDir(), "c.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Load(func(name string) string {
+		return map[string]string{"GW_CONFIG": path, "GW_LISTEN": "127.0.0.4:8080"}[name]
+	})
+}
+
+func TestAllIsRead(t *testing.T) {
+	g, err := load(t, func(_, limits map[string]any) { delete(limits, "sockets") })
+	if err != nil || g.Name != "n3" || g.Listen != "127.0.0.4:8080" || g.Seed != 0x8c1f30d27a5be964 ||
+		g.Stop != 3200*time.Millisecond || g.Cores != 0.5 || g.Memory != 64<<20 || g.Sockets != defaultSockets {
+		t.Errorf("%v: %+v", err, g)
+	}
+	if told := g.Site.Told; g.Site.Bands[1] != "excursion" || told["band.1.kind"] != "receipted" || told["cores"] != 4.0 ||
+		told["band.2.calls"] != true || g.Site.Customers[0] != "acme" || g.Site.Gauges[1] != "runnable" {
+		t.Errorf("%+v", g.Site)
+	}
+}
+
+func TestFaultsNameTheirKey(t *testing.T) {
+	for key, change := range map[string]func(file, limits map[string]any){
+		"name":             func(f, _ map[string]any) { delete(f, "name") },
+		"runtime":          func(f, _ map[string]any) { f["runtime"] = "localhost:1" },
+		"directory":        func(f, _ map[string]any) { f["directory"] = "127.0.0.1:0" },
+		"index":            func(f, _ map[string]any) { f["index"] = 5 },
+		"seed":             func(f, _ map[string]any) { f["seed"] = "no hex" },
+		"stop_ms":          func(f, _ map[string]any) { f["stop_ms"] = -1 },
+		"limits":           func(f, _ map[string]any) { f["limits"] = "all" },
+		"limits.memory_mb": func(_, l map[string]any) { l["memory_mb"] = 1e12 },
+		"limits.cores":     func(_, l map[string]any) { l["cores"] = "one" },
+		"settings":         func(f, _ map[string]any) { delete(f, "settings") },
+		"settings.classes": func(f, _ map[string]any) { f["settings"] = map[string]any{"classes": []any{}} },
+	} {
+		_, err := load(t, change)
+		var fault *Fault
+		if !errors.As(err, &fault) || fault.Key != key || fault.Want == "" || fault.Found == "" {
+			t.Errorf("%s: %v", key, err)
+		}
+	}
+	for _, path := range []string{"", "/nowhere", os.DevNull} {
+		if _, err := Load(func(name string) string { return map[string]string{"GW_CONFIG": path}[name] }); err == nil {
+			t.Errorf("%q was read", path)
+		}
+	}
+}
--- a/internal/jsonline/jsonline.go
+++ b/internal/jsonline/jsonline.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 	"unicode/utf16"
 	"unicode/utf8"
 )
@@ -273,9 +274,9 @@
 	return out[:n], nil
 }
 
-// AppendText writes a string.
+// AppendText writes a string, with a mark for what is no character.
 func AppendText(out []byte, s string) []byte {
-	out = append(out, '"')
+	out, s = append(out, '"'), strings.ToValidUTF8(s, "?")
 	for i := range len(s) {
 		switch c := s[i]; {
 		case c == '"' || c == '\\':
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -273,14 +273,10 @@
 	if l.phase == Ended {
 		return
 	}
-	// After a standstill all that waits is read first, so that the pause is not taken for load.
-	if l.read && l.gathers < mostGathers && !l.wake.IsZero() && time.Since(l.wake) > lateWake {
-		l.read = false
-		l.gathers++
+	if l.putOff(time.Now()) {
 		l.mark()
 		return
 	}
-	l.read, l.gathers = false, 0
 	phase := l.phase
 	l.guard("round", func() { l.wake, phase = l.host.Round() })
 	for n := 0; n < len(l.dirty); n++ { // flushing may close, and closing may write elsewhere
@@ -302,6 +298,18 @@
 	l.timer.Reset(max(time.Until(l.wake), 0))
 }
 
+// putOff tells whether more is read before this round: after a standstill all that waits is, so that the pause is
+// not taken for load.
+func (l *Loop) putOff(now time.Time) bool {
+	off := l.read && l.gathers < mostGathers && !l.wake.IsZero() && now.Sub(l.wake) > lateWake
+	if l.read = false; !off {
+		l.gathers = 0
+		return false
+	}
+	l.gathers++
+	return true
+}
+
 // unstick closes the connections that leave too much unread, and the worst while all together hold too much.
 func (l *Loop) unstick() {
 	for {
--- /dev/null
+++ b/internal/rpc/rpc_test.go
@@ -0,0 +1,122 @@
+package rpc
+
+import (
+	"encoding/json"
+	"errors"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"thymechute/internal/loop"
+	"thymechute/internal/node"
+)
+
+const text = `{"jsonrpc":"2.0","id":7,"method":"excursion","params":{"rid":"9b1f","t0":1764576000123,"peer":4,` +
+	`"acct":"acme","again":1,"mem":24.5,"prio":0.6250,"token":"5c0f","obj":"7f3a","doc":"AP8="}}`
+
+func TestDecodeTakesAllFieldsInAnyOrder(t *testing.T) {
+	want := node.Ask{Rid: "9b1f", Band: "excursion", Customer: "acme", Receipt: "5c0f", Subject: "7f3a",
+		Came: time.UnixMilli(1764576000123), From: 4, Again: true, KB: 24.5, Rank: 0.625, Body: []byte{0, 255}}
+	turned := `{"params":{"doc":"AP8=","x":[{}],"obj":"7f3a","token":"5c0f","prio":0.6250,"mem":24.5,"again":true,` +
+		`"acct":"ac\u006de","peer":4,"t0":1764576000123,"rid":"9b1f"},"method":"excursion","more":null,"id":7,"jsonrpc":"2.0"}`
+	for _, ask := range []string{text, turned} {
+		q, err := Decode([]byte(ask))
+		got, body := q.Ask, string(q.Ask.Body)
+		got.Body = nil
+		if err != nil || q.ID != "7" || q.Check || body != string(want.Body) || !got.Came.Equal(want.Came) ||
+			got.Rid != want.Rid || got.Band != want.Band || got.Customer != want.Customer || got.Receipt != want.Receipt ||
+			got.Subject != want.Subject || got.From != 4 || !got.Again || got.KB != 24.5 || got.Rank != 0.625 {
+			t.Errorf("%v: %+v", err, q)
+		}
+	}
+}
+
+func TestAnswersSayWhatTheModuleDecided(t *testing.T) {
+	for want, a := range map[string]node.Answer{
+		`{"jsonrpc":"2.0","id":7,"result":{"doc":"AP8=","hint":0.25}}`: {Kind: node.Fulfilled, Result: []byte{0, 255}, Free: 0.25},
+		`{"jsonrpc":"2.0","id":7,"result":{"doc":""}}`:                 {Kind: node.Fulfilled, Free: -1},
+		`{"jsonrpc":"2.0","id":7,"error":{"code":-32001,"message":"overloaded","data":{"backoff":251,"final":1,"hint":0}}}`: {
+			Kind: node.TurnedBack, ComeBack: 250*time.Millisecond + 1, No: true},
+		`{"jsonrpc":"2.0","id":7,"error":{"code":-32000,"message":"failed"}}`: {
+			Kind: node.Scrapped, ComeBack: time.Second, No: true, Free: -1},
+	} {
+		got := string(AppendAnswer(nil, "7", a))
+		if got != want+"\n" || !json.Valid([]byte(got)) {
+			t.Errorf("got %s, want %s", got, want)
+		}
+	}
+}
+
+type wire struct {
+	out    []byte
+	closed bool
+}
+
+func (w *wire) Write(p []byte) { w.out = append(w.out, p...) }
+func (w *wire) Close()         { w.closed = true }
+
+type door struct{ asked, gone int }
+
+func (d *door) Arrive(node.Asker, string, node.Ask) error { d.asked++; return nil }
+func (d *door) Gone(node.Asker)                           { d.gone++ }
+func (d *door) Check(node.Asker, string, bool)            {}
+
+func TestOnlyConnectionsWithNothingOpenAreClosedAsIdle(t *testing.T) {
+	d := &door{}
+	f := NewFront(d, 2, zap.NewNop())
+	busy, idle := &wire{}, &wire{}
+	one, two := f.Accept(), f.Accept()
+	one.Opened(busy)
+	two.Opened(idle)
+	if f.Accept() != nil {
+		t.Error("a third connection is taken")
+	}
+	if err := one.Read([]byte(text + "\n")); err != nil || d.asked != 1 {
+		t.Fatalf("%v, %d asked", err, d.asked)
+	}
+	f.Idle(time.Second)
+	f.Sweep(time.Now().Add(2 * time.Second))
+	if busy.closed || !idle.closed {
+		t.Errorf("busy closed %v, idle closed %v", busy.closed, idle.closed)
+	}
+	one.(*line).Answer("7", node.Answer{})
+	f.Sweep(time.Now().Add(4 * time.Second))
+	if !busy.closed {
+		t.Error("an answered connection stays open")
+	}
+}
+
+func TestMoreOpenThanAllowedAreNotTaken(t *testing.T) {
+	d, w := &door{}, &wire{}
+	p := NewFront(d, 2, zap.NewNop()).Accept()
+	p.Opened(w)
+	for n := range mostOpen + 1 {
+		ask, _ := json.Marshal(map[string]any{"jsonrpc": "2.0", "id": n, "method": "trace", "params": map[string]any{"rid": "a"}})
+		if err := p.Read(append(ask, '\n')); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if d.asked != mostOpen || len(w.out) == 0 {
+		t.Errorf("%d taken, answered %s", d.asked, w.out)
+	}
+	p.Closed(&loop.Broken{Connected: true, Err: errors.New("reset")})
+	if d.gone != 1 {
+		t.Error("the door was not told that the callers are gone")
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, seed := range []string{text, `{"jsonrpc":"2.0","id":"x","method":"check","params":{"full":true}}`, `{"id":1,"method":5}`, `[]`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		q, err := Decode(text)
+		if err == nil && !q.Check && (!plain(q.Ask.Rid) || len(q.Ask.Body) > mostBody || q.ID == "") {
+			t.Errorf("%q was taken as %+v", text, q)
+		}
+		if out := AppendFault(nil, q.ID, &Fault{codeParse, errors.New(string(text))}); err != nil && !json.Valid(out) {
+			t.Errorf("answered with %q", out)
+		}
+	})
+}
