Numbers by JSON's own grammar; the instance tested without sockets

Seen by a fuzz run of the stubs' decoder: an id 00 was taken for a number and came back in an answer that no strict reader can read. At fault: jsonline.Number left the grammar to strconv. Now it is JSON's.

--- a/internal/jsonline/jsonline.go
+++ b/internal/jsonline/jsonline.go
@@ -190,16 +190,36 @@
 	return rune(n), nil
 }
 
-// Number reads a number.
+// Number reads a number, by JSON's own grammar: an id goes back as it came, and a reader of it may be strict.
 func (r *Reader) Number() (float64, error) {
 	r.peek()
 	from := r.at
-	for r.at < len(r.text) && bytes.IndexByte([]byte("+-.0123456789eE"), r.text[r.at]) >= 0 {
-		r.at++
+	digits := func() bool {
+		at := r.at
+		for r.at < len(r.text) && r.text[r.at] >= '0' && r.text[r.at] <= '9' {
+			r.at++
+		}
+		return r.at > at
+	}
+	skip := func(any string) bool {
+		found := r.at < len(r.text) && strings.IndexByte(any, r.text[r.at]) >= 0
+		if found {
+			r.at++
+		}
+		return found
+	}
+	skip("-")
+	whole := r.at
+	ok := digits() && (r.text[whole] != '0' || r.at == whole+1)
+	if ok && skip(".") {
+		ok = digits()
+	}
+	if ok && skip("eE") {
+		skip("+-")
+		ok = digits()
 	}
-	text := r.text[from:r.at]
-	x, err := strconv.ParseFloat(string(text), 64)
-	if err != nil || text[0] == '+' || text[0] == '.' {
+	x, err := strconv.ParseFloat(string(r.text[from:r.at]), 64)
+	if !ok || err != nil {
 		r.at = from
 		return 0, r.bad("a number")
 	}
--- a/internal/jsonline/jsonline_test.go
+++ b/internal/jsonline/jsonline_test.go
@@ -60,6 +60,16 @@
 	}
 }
 
+func TestNumbersAreThoseOfJSON(t *testing.T) {
+	for text, good := range map[string]bool{"0": true, "-0.5e+3": true, "12E2": true, "00": false, "01": false, "+1": false,
+		".5": false, "1.": false, "-": false, "1e": false, "1e999": false, "": false, "Inf": false, "0x1": false} {
+		r := New([]byte(text))
+		if _, err := r.Number(); (err == nil && r.End() == nil) != good {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
+
 // What the standard library takes for an object is read to its end, and nothing makes the reader panic.
 func FuzzObject(f *testing.F) {
 	for _, seed := range []string{`{"a":1,"b":[true,null,{"c":"\u0000"}]}`, `{}`, `{"a":-1.5e3}`, `{`, `{"a":}`, `[[[[`, `{"a":1}x`, `{"":"` + "\x80" + `"}`} {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -51,3 +51,16 @@
 		t.Errorf("%v %q", err, out)
 	}
 }
+
+// Whatever comes, the answer is a reply or one plain error, never a panic.
+func FuzzServe(f *testing.F) {
+	for _, seed := range []string{start, "REQ ticket=1 cls=0 size_kb=1\n", "ALARM ref=1 server_stats=0.5,1\n", "REQ ticket=x\n", "FOR\n"} {
+		f.Add("BEGIN_BATCH moment_s=1\n" + start + seed + "EOF_BATCH\n")
+	}
+	f.Fuzz(func(t *testing.T, in string) {
+		var out bytes.Buffer
+		if err := Serve(strings.NewReader(in), &out); err != nil && strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: more than one line: %v", in, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,212 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"thymechute/internal/aid"
+	"thymechute/internal/loop"
+	"thymechute/internal/told"
+	"thymechute/policy"
+)
+
+// sides is all that an instance talks to, written down.
+type sides struct {
+	down  bool
+	lines []string
+}
+
+func (s *sides) put(format string, args ...any) {
+	s.lines = append(s.lines, fmt.Sprintf(format, args...))
+}
+func (s *sides) Up() bool                            { return !s.down }
+func (s *sides) Start(rid, band string, body []byte) { s.put("start %s %s %s", rid, band, body) }
+func (s *sides) Stop(rid string)                     { s.put("stop %s", rid) }
+func (s *sides) Give(rid string, reply []byte)       { s.put("give %s %s", rid, reply) }
+func (s *sides) LeaveOut(rid string)                 { s.put("omit %s", rid) }
+func (s *sides) Gauges()                             { s.put("gauges") }
+func (s *sides) SelfTest(tag string)                 { s.put("test") }
+func (s *sides) Call(rid string, _ time.Duration, b []byte) {
+	s.put("call %s %s", rid, b)
+}
+func (s *sides) GiveUp(rid string)                      { s.put("give up %s", rid) }
+func (s *sides) Idle(time.Duration)                     {}
+func (s *sides) Leave()                                 { s.put("leave") }
+func (s *sides) Sweep(time.Time) (next time.Time)       { return }
+func (s *sides) Checked(tag string, ok bool, _ float64) { s.put("checked %s %v", tag, ok) }
+func (s *sides) Answer(tag string, a Answer) {
+	s.put("answer %s %d %s", tag, a.Kind, a.Result)
+}
+
+func (s *sides) wants(t *testing.T, n int, text string) {
+	t.Helper()
+	if got := strings.Count("\n"+strings.Join(s.lines, "\n")+"\n", "\n"+text); got != n {
+		t.Errorf("%q: %d times, want %d, in %q", text, got, n, s.lines)
+	}
+}
+
+type front struct{ *sides }
+
+func (front) Sweep(time.Time) {}
+
+type reports struct{}
+
+func (reports) Sweep(time.Time, bool) {}
+
+// up is an instance whose runtime is up; bands pure, receipted and effectful.
+func up(more map[string]any) (*Instance, *sides) {
+	s := &sides{}
+	n := New(told.Site{Told: aid.Told(more), Bands: []string{"pure", "receipted", "effectful"}}, 7, 3*time.Second, zap.NewNop())
+	n.Connect(s, s, front{s}, reports{})
+	n.Ready(false, 0, time.Now())
+	n.Round()
+	return n, s
+}
+
+// ask reads a work item that came to the machine so long ago.
+func (n *Instance) ask(s Asker, rid, band, receipt string, ago time.Duration) {
+	if err := n.Arrive(s, rid, Ask{Rid: rid, Band: band, Receipt: receipt, KB: 1, Came: time.Now().Add(-ago), Body: []byte("x")}); err != nil {
+		panic(err)
+	}
+	n.Round()
+}
+
+// A machine that stands still owes its readings and is silent: that is no load, and the module must hear of it.
+func TestSilentMachineDefersTheTick(t *testing.T) {
+	n, s := up(nil)
+	for _, silent := range []bool{false, true} {
+		n.now = time.Since(n.start)
+		n.wake, n.asked, n.gaugesAt, n.heard = n.now, n.now-2*silence, n.now-3*silence, n.now
+		if silent {
+			n.heard = n.asked
+		}
+		if late := n.standstill() - n.wake; (late == mostSilence) != silent || !silent && late != 0 {
+			t.Errorf("silent %v: %v late", silent, late)
+		}
+	}
+	if s.down = true; n.standstill() != n.wake {
+		t.Error("a link that is down defers ticks")
+	}
+}
+
+func TestRepeatReadLateStillMeetsItsReceipt(t *testing.T) {
+	n, s := up(map[string]any{"band.1.window_s": 0.05})
+	n.ask(s, "a", "receipted", "key", 0)
+	n.End("a", policy.OK, 0, []byte("one"))
+	n.Round()
+	r := n.receipts["receipted key"]
+	r.end = n.now - 50*time.Millisecond // over when the repeat is read, not when it came
+	n.ask(s, "b", "receipted", "key", 100*time.Millisecond)
+	s.wants(t, 1, "answer b 0 one")
+	n.ask(s, "c", "receipted", "key", 0)
+	s.wants(t, 1, "start c")
+}
+
+func TestReceiptsAreEmptiedByTime(t *testing.T) {
+	n, s := up(nil)
+	n.ask(s, "a", "receipted", "key", 0)
+	n.End("a", policy.OK, 0, nil)
+	n.Round()
+	n.receipts["receipted key"].end, n.swept = n.now-2*afterEnd, 0
+	n.Round()
+	if len(n.receipts) != 0 {
+		t.Error("the receipt stays")
+	}
+}
+
+func TestRepeatGetsTheResultOfWhatWasScrapped(t *testing.T) {
+	n, s := up(nil)
+	n.ask(s, "b", "receipted", "other", 0)
+	n.mod.Tick(n.now+3*time.Second, policy.Gauges{Busy: -1, Runnable: -1}) // b runs past its due time
+	s.wants(t, 1, "answer b 2")
+	n.End("b", policy.OK, 0, []byte("late"))
+	n.ask(s, "c", "receipted", "other", 0)
+	s.wants(t, 1, "answer c 0 late")
+	s.wants(t, 1, "answer b")
+	s.wants(t, 1, "start")
+}
+
+func TestWhatNoLinkTookIsSaidOnceItIsUp(t *testing.T) {
+	n, s := up(nil)
+	s.down = true
+	n.ask(s, "a", "effectful", "", 0)
+	n.ask(s, "b", "effectful", "", 0)
+	s.wants(t, 0, "start")
+	n.Scrap(n.byRid["b"]) // answered before it could start: nothing is left to run
+	s.down = false
+	n.CaughtUp()
+	n.Round()
+	s.wants(t, 1, "start a effectful x")
+	s.wants(t, 0, "start b")
+	n.Wants("a", []byte("call"))
+	n.Round()
+	s.wants(t, 1, "call a call")
+	s.down = true
+	n.Returned("a", policy.OK, 0, []byte("reply"))
+	n.Round()
+	s.down = false
+	n.CaughtUp()
+	n.CaughtUp()
+	n.Round()
+	s.wants(t, 1, "start a")
+	s.wants(t, 1, "give a reply")
+}
+
+// A pause between the runtime's answer and its being read must not make the runtime look younger.
+func TestLateReadAnswerOfTheRuntimeIsNoNewStart(t *testing.T) {
+	n, s := up(nil)
+	n.ask(s, "a", "pure", "", 0)
+	n.began = n.began.Add(-5 * time.Second)
+	n.Ready(false, 3*time.Second, time.Now().Add(-3*time.Second))
+	n.Round()
+	s.wants(t, 0, "answer a")
+	n.Ready(false, 3*time.Second, time.Now())
+	n.Round()
+	s.wants(t, 1, "answer a 2")
+}
+
+func TestCallersThatAreGoneAreNotAnswered(t *testing.T) {
+	n, s := up(nil)
+	other := &sides{}
+	for _, rid := range []string{"a", "b", "c"} {
+		n.ask(other, rid, "effectful", "", 0)
+	}
+	n.Gone(other)
+	n.Round()
+	n.End("a", policy.OK, 0, nil)
+	n.ask(s, "d", "effectful", "", 0)
+	s.wants(t, 1, "start d") // on the core that c, still held, was given up for
+	s.wants(t, 0, "start c")
+	if len(other.lines) != 0 {
+		t.Errorf("told %q", other.lines)
+	}
+}
+
+func TestPanicOfOneEventSparesTheNext(t *testing.T) {
+	n, s := up(nil)
+	n.put(func() { panic("no") })
+	n.ask(s, "a", "pure", "", 0)
+	s.wants(t, 1, "start a")
+}
+
+func TestDoorClosesBeforeTheEnd(t *testing.T) {
+	n, s := up(nil)
+	n.ask(s, "a", "effectful", "", 0)
+	n.Leave()
+	if _, phase := n.Round(); phase != loop.Serving {
+		t.Fatalf("phase %v at the notice", phase)
+	}
+	for _, at := range []struct {
+		left time.Duration
+		want loop.Phase
+	}{{closeBefore + 100*time.Millisecond, loop.Serving}, {closeBefore - 100*time.Millisecond, loop.Closing}, {lastCall / 2, loop.Ended}} {
+		n.now, n.lastRead = n.killAt-at.left, n.killAt-at.left
+		if got := n.phase(); got != at.want {
+			t.Errorf("%v before the stop: phase %v, want %v", at.left, got, at.want)
+		}
+	}
+}
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -107,7 +107,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	for _, seed := range []string{text, `{"jsonrpc":"2.0","id":"x","method":"check","params":{"full":true}}`, `{"id":1,"method":5}`, `[]`} {
+	for _, seed := range []string{text, `{"jsonrpc":"2.0","id":"x","method":"check","params":{"full":true}}`, `{"id":1,"method":5}`, `{"id":00`, `[]`} {
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
