--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -659,7 +659,7 @@
 		return
 	}
 	r := n.receipts[key]
-	if r == nil {
+	if r == nil || r.over { // an entry past its window must not lend its result to the next
 		r = &receipt{}
 		n.receipts[key] = r
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -106,6 +106,21 @@
 	s.wants(t, 1, "start c")
 }
 
+func TestResultOfAnOldWindowIsNotLentToTheNext(t *testing.T) {
+	n, s := up(nil)
+	n.ask(s, "a", "receipted", "key", 0)
+	n.End("a", policy.OK, 0, []byte("old"))
+	n.Round()
+	n.receipts["receipted key"].end = n.now - time.Second
+	n.ask(s, "b", "receipted", "key", 0)
+	n.ask(s, "c", "receipted", "key", 0)
+	s.wants(t, 1, "start b")
+	s.wants(t, 0, "answer c")
+	n.End("b", policy.OK, 0, []byte("new"))
+	n.Round()
+	s.wants(t, 1, "answer c 0 new")
+}
+
 func TestReceiptsAreEmptiedByTime(t *testing.T) {
 	n, s := up(nil)
 	n.ask(s, "a", "receipted", "key", 0)
