--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -163,6 +163,7 @@
 	inbox    []func() // what came since the last round, in order
 	later    []func() // what the module must hear after what it is at
 	checks   map[string]check
+	tests    int // self-tests asked for so far
 
 	good, stored     bool
 	free             float64
@@ -413,7 +414,8 @@
 		asker.Checked(tag, n.mod != nil && n.good, n.free)
 		return
 	}
-	name := "c" + strconv.Itoa(len(n.checks)) + "-" + strconv.Itoa(int(n.now/time.Microsecond))
+	n.tests++
+	name := "check" + strconv.Itoa(n.tests)
 	n.checks[name] = check{asker, tag, n.now + 5*time.Second}
 	n.runtime.SelfTest(name)
 }
