--- a/cmd/thymechute/log.go
+++ b/cmd/thymechute/log.go
@@ -1,3 +1,6 @@
+// The log: this file owns the lines on their way to standard error. It must never make the loop wait, whoever reads
+// them or not, nor keep more than its bound.
+
 package main
 
 import (
--- a/internal/aid/aid.go
+++ b/internal/aid/aid.go
@@ -62,6 +62,15 @@
 	}
 }
 
+// Wire is a connection that keeps what is written on it.
+type Wire struct {
+	Out    string
+	Closed bool
+}
+
+func (w *Wire) Write(p []byte) { w.Out += string(p) }
+func (w *Wire) Close()         { w.Closed = true }
+
 // Told is a server of two cores in the module's words; band 0 is pure, 1 receipted, 2 effectful.
 func Told(more map[string]any) map[string]any {
 	m := map[string]any{"cores": 2.0, "memory_kb": 1000.0, "run_memory": 4.0, "receipt_kb": 20.0,
--- a/internal/index/index_test.go
+++ b/internal/index/index_test.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"thymechute/internal/aid"
 	"thymechute/internal/loop"
 	"thymechute/policy"
 )
@@ -19,14 +20,6 @@
 	s.got = append(s.got, fmt.Sprintf("%s %d %s", rid, o, reply))
 }
 
-type wire struct {
-	out    string
-	closed bool
-}
-
-func (w *wire) Write(p []byte) { w.out += string(p) }
-func (w *wire) Close()         { w.closed = true }
-
 func line() (l *Line, s *sink, dials *int) {
 	s, dials = &sink{}, new(int)
 	return NewLine(s, func(loop.Peer) { *dials++ }, zap.NewNop()), s, dials
@@ -46,19 +39,19 @@
 	l.Closed(&loop.Broken{Err: errors.New("refused")})
 	wants(t, s, "a", policy.ConnectFailed, "")
 	l.Call("b", time.Second, []byte("x"))
-	l.Opened(&wire{})
+	l.Opened(&aid.Wire{})
 	l.Closed(&loop.Broken{Connected: true, Err: errors.New("reset")})
 	wants(t, s, "b", policy.Reset, "")
 	l.Call("c", time.Second, []byte("x")) // still dialling at its end
 	l.Sweep(time.Now().Add(2 * time.Second))
 	wants(t, s, "c", policy.ConnectFailed, "")
-	w := &wire{}
+	w := &aid.Wire{}
 	l.Opened(w)
 	l.Call("d", time.Second, []byte("x"))
 	l.Sweep(time.Now().Add(2 * time.Second))
 	wants(t, s, "d", policy.TimedOut, "")
-	if !strings.HasSuffix(w.out, " 1\r\nx\r\nSTOP d\r\n") || strings.Contains(w.out, "GET c") || *dials != 3 {
-		t.Errorf("wrote %q, dialled %d times", w.out, *dials)
+	if !strings.HasSuffix(w.Out, " 1\r\nx\r\nSTOP d\r\n") || strings.Contains(w.Out, "GET c") || *dials != 3 {
+		t.Errorf("wrote %q, dialled %d times", w.Out, *dials)
 	}
 }
 
@@ -66,7 +59,7 @@
 	const text = "b SHED\r\na HIT 4\r\n\r\n\r\n\r\nc SLOW\r\n"
 	for cut := range len(text) {
 		l, s, _ := line()
-		l.Opened(&wire{})
+		l.Opened(&aid.Wire{})
 		for _, rid := range []string{"a", "b"} {
 			l.Call(rid, time.Second, nil)
 		}
@@ -83,17 +76,17 @@
 
 func TestConnectionAboutToBeClosedIsNotUsed(t *testing.T) {
 	l, s, dials := line()
-	w := &wire{}
+	w := &aid.Wire{}
 	l.Opened(w)
 	l.Sweep(time.Now().Add(idleAfter / 2))
-	if w.closed {
+	if w.Closed {
 		t.Error("closed too soon")
 	}
 	l.Sweep(time.Now().Add(2 * idleAfter))
 	l.Call("a", time.Second, nil)
 	l.Closed(&loop.Broken{Connected: true, Err: errors.New("closed")}) // of the old one
-	if !w.closed || w.out != "" || *dials != 1 || len(s.got) != 0 {
-		t.Errorf("closed %v, wrote %q, dialled %d times, told %q", w.closed, w.out, *dials, s.got)
+	if !w.Closed || w.Out != "" || *dials != 1 || len(s.got) != 0 {
+		t.Errorf("closed %v, wrote %q, dialled %d times, told %q", w.Closed, w.Out, *dials, s.got)
 	}
 }
 
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"thymechute/internal/aid"
 	"thymechute/internal/loop"
 	"thymechute/internal/node"
 )
@@ -48,14 +49,6 @@
 	}
 }
 
-type wire struct {
-	out    []byte
-	closed bool
-}
-
-func (w *wire) Write(p []byte) { w.out = append(w.out, p...) }
-func (w *wire) Close()         { w.closed = true }
-
 type door struct{ asked, gone int }
 
 func (d *door) Arrive(node.Asker, string, node.Ask) error { d.asked++; return nil }
@@ -65,7 +58,7 @@
 func TestOnlyConnectionsWithNothingOpenAreClosedAsIdle(t *testing.T) {
 	d := &door{}
 	f := NewFront(d, 2, zap.NewNop())
-	busy, idle := &wire{}, &wire{}
+	busy, idle := &aid.Wire{}, &aid.Wire{}
 	one, two := f.Accept(), f.Accept()
 	one.Opened(busy)
 	two.Opened(idle)
@@ -77,18 +70,18 @@
 	}
 	f.Idle(time.Second)
 	f.Sweep(time.Now().Add(2 * time.Second))
-	if busy.closed || !idle.closed {
-		t.Errorf("busy closed %v, idle closed %v", busy.closed, idle.closed)
+	if busy.Closed || !idle.Closed {
+		t.Errorf("busy closed %v, idle closed %v", busy.Closed, idle.Closed)
 	}
 	one.(*line).Answer("7", node.Answer{})
 	f.Sweep(time.Now().Add(4 * time.Second))
-	if !busy.closed {
+	if !busy.Closed {
 		t.Error("an answered connection stays open")
 	}
 }
 
 func TestMoreOpenThanAllowedAreNotTaken(t *testing.T) {
-	d, w := &door{}, &wire{}
+	d, w := &door{}, &aid.Wire{}
 	p := NewFront(d, 2, zap.NewNop()).Accept()
 	p.Opened(w)
 	for n := range mostOpen + 1 {
@@ -97,8 +90,8 @@
 			t.Fatal(err)
 		}
 	}
-	if d.asked != mostOpen || len(w.out) == 0 {
-		t.Errorf("%d taken, answered %s", d.asked, w.out)
+	if d.asked != mostOpen || len(w.Out) == 0 {
+		t.Errorf("%d taken, answered %s", d.asked, w.Out)
 	}
 	p.Closed(&loop.Broken{Connected: true, Err: errors.New("reset")})
 	if d.gone != 1 {
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -21,7 +21,6 @@
 const (
 	longestLine = 64 << 10
 	mostBytes   = 32 << 10
-	dialFor     = time.Second
 	leastWait   = 20 * time.Millisecond
 	mostWait    = time.Second
 	mostOdd     = 20 // remarks on what is odd in a link's life
--- a/internal/runtime/runtime_test.go
+++ b/internal/runtime/runtime_test.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"thymechute/internal/aid"
 	"thymechute/internal/loop"
 	"thymechute/policy"
 )
@@ -26,11 +27,6 @@
 func (s *sink) Readings(row []float64)         { s.put("readings %v", row) }
 func (s *sink) Verdict(tag string, good bool)  { s.put("verdict %s %v", tag, good) }
 
-type wire struct{ out string }
-
-func (w *wire) Write(p []byte) { w.out += string(p) }
-func (w *wire) Close()         {}
-
 func link() (*Link, *sink, *[]time.Duration) {
 	s, waits := &sink{}, &[]time.Duration{}
 	after := func(d time.Duration, _ func()) { *waits = append(*waits, d) }
@@ -39,7 +35,7 @@
 
 func TestNoticesAreToldOnceAndInOrder(t *testing.T) {
 	l, s, _ := link()
-	w := &wire{}
+	w := &aid.Wire{}
 	l.Opened(w)
 	const notices = `{"verb":"ready","outcome":"new","spent":1.5}
 {"verb":"wants","index":1,"task":"a","bytes":"eA=="}
@@ -60,11 +56,11 @@
 	if got := strings.Join(s.got, "; "); got != "ready false 1.5ms; wants a x; end a 1 z; caught up; readings [1 2]" {
 		t.Error(got)
 	}
-	again := &wire{}
+	again := &aid.Wire{}
 	l.Closed(&loop.Broken{Connected: true})
 	l.Opened(again)
-	if l.Up() || !strings.Contains(again.out, `"index":2`) {
-		t.Errorf("up %v, synced with %q", l.Up(), again.out)
+	if l.Up() || !strings.Contains(again.Out, `"index":2`) {
+		t.Errorf("up %v, synced with %q", l.Up(), again.Out)
 	}
 }
 
@@ -81,7 +77,7 @@
 
 func TestRefusedStartIsMoot(t *testing.T) {
 	l, s, _ := link()
-	l.Opened(&wire{})
+	l.Opened(&aid.Wire{})
 	_ = l.Read([]byte(`{"verb":"nack","outcome":"start","task":"a"}` + "\n" + `{"verb":"nack","outcome":"give","task":"b"}` + "\n"))
 	if len(s.got) != 1 || s.got[0] != fmt.Sprintf("end a %d ", policy.Moot) {
 		t.Errorf("%q", s.got)
