A log that nobody reads does not end the instance

Checked with a test that closes the reading end of standard error: the program died of SIGPIPE at its next line (no second link came within 20 s), as Go ends a program for a broken standard error. Now the signal is ignored and the line is lost.

--- a/cmd/thymechute/main.go
+++ b/cmd/thymechute/main.go
@@ -55,6 +55,7 @@
 	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &rl) == nil && rl.Cur < uint64(sockets) {
 		sockets = int(rl.Cur)
 	}
+	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more must not end the instance
 	out := newLines(os.Stderr)
 	defer out.close()
 	log := newLog(g.Name, out)
--- a/cmd/thymechute/main_test.go
+++ b/cmd/thymechute/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"strings"
 	"testing"
 
@@ -341,6 +342,22 @@
 	}
 }
 
+func TestLogWithoutAReaderDoesNotEndTheProgram(t *testing.T) {
+	reader, log, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	reader.Close()
+	w := aid.NewWorld(t, nil)
+	w.Program = aid.StartWith(t, w.Given, log)
+	w.Runtime.Sync(0, "new", 0)
+	w.Runtime.Break() // this and the sync are worth a line each
+	w.Runtime.Sync(0, "new", 50)
+	s := w.Stub()
+	s.Ask(1, "trace", "aa01", body, "")
+	w.Runtime.Command("start")
+}
+
 func TestFaultyConfigurationEndsWithTheKey(t *testing.T) {
 	w := aid.NewWorld(t, func(given map[string]any) { given["stop_ms"] = "soon" })
 	p := aid.Start(t, w.Given)
--- a/internal/aid/aid.go
+++ b/internal/aid/aid.go
@@ -184,6 +184,12 @@
 
 // Start builds the program once and starts it with this configuration.
 func Start(t *testing.T, given map[string]any) *Program {
+	t.Helper()
+	return StartWith(t, given, nil)
+}
+
+// StartWith logs to the file instead of into the Program's memory.
+func StartWith(t *testing.T, given map[string]any, log *os.File) *Program {
 	t.Helper()
 	built.once.Do(func() {
 		dir, err := os.MkdirTemp("", "thymechute")
@@ -210,7 +216,9 @@
 	}
 	p := &Program{t: t, Cmd: exec.Command(built.path), Exited: make(chan int, 1)}
 	p.Cmd.Env = append(os.Environ(), "GW_CONFIG="+file)
-	p.Cmd.Stderr = p
+	if p.Cmd.Stderr = p; log != nil {
+		p.Cmd.Stderr = log
+	}
 	if err := p.Cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
