Last read: gauges mapped in one place, one guard against panics, joins end as runs do

Behaviour as before. Link and node each mapped the gauges' names: now told.Site does, next to the other names. Node had a copy of the loop's guard. A join's end repeated what the end of a run does. Told spans were read in three ways. call.patience of the index was never read.

--- a/cmd/thymechute/main_test.go
+++ b/cmd/thymechute/main_test.go
@@ -116,12 +116,7 @@
 
 func TestReplyThatMayHaveBeenTakenIsNotGivenTwice(t *testing.T) {
 	w := aid.Serve(t, nil)
-	s := w.Stub()
-	s.Ask(1, "seal", "aa01", body, "")
-	w.Runtime.Command("start")
-	w.Runtime.Wants(1, "aa01", "call")
-	w.Index.Accept()
-	w.Index.Get()
+	s := w.AtCall("aa01", body)
 	w.Index.Send("aa01 HIT 1\r\nx\r\n")
 	w.Runtime.Command("give")
 	w.Runtime.Break()
@@ -198,12 +193,7 @@
 
 func TestCallBrokenInItsReplyMayHaveRun(t *testing.T) {
 	w := aid.Serve(t, nil)
-	s := w.Stub()
-	s.Ask(1, "seal", "aa01", body, "")
-	w.Runtime.Command("start")
-	w.Runtime.Wants(1, "aa01", "call")
-	w.Index.Accept()
-	w.Index.Get()
+	s := w.AtCall("aa01", body)
 	w.Index.Send("aa01 HIT 9\r\nhal")
 	w.Index.Break()
 	s.Wants(1, -32000, "")
--- a/internal/aid/aid.go
+++ b/internal/aid/aid.go
@@ -156,6 +156,18 @@
 	return w
 }
 
+// AtCall brings a work item of the band seal to its call, which the index has read, and returns its stub.
+func (w *World) AtCall(rid, body string) *Stub {
+	w.T.Helper()
+	s := w.Stub()
+	s.Ask(1, "seal", rid, body, "")
+	w.Runtime.Command("start")
+	w.Runtime.Wants(1, rid, "call")
+	w.Index.Accept()
+	w.Index.Get()
+	return s
+}
+
 // FreeAddress is one that nothing listens on.
 func FreeAddress(t *testing.T) string {
 	t.Helper()
--- a/internal/index/index.go
+++ b/internal/index/index.go
@@ -77,7 +77,6 @@
 
 type call struct {
 	began, until time.Time
-	patience     time.Duration
 	body         []byte // emptied when it is written
 	sent         bool
 }
@@ -103,7 +102,7 @@
 // Call issues a call for a work item.
 func (l *Line) Call(rid string, patience time.Duration, body []byte) {
 	now := time.Now()
-	c := &call{began: now, until: now.Add(patience), patience: patience, body: body}
+	c := &call{began: now, until: now.Add(patience), body: body}
 	l.calls[rid] = c
 	if l.wire != nil {
 		l.write(rid, c)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -131,7 +131,7 @@
 	index      map[uint64]int // ticket to index; emptied by Release
 	ticket     []uint64       // index to ticket
 	spare      []int          // indices free for use
-	gauges     []string
+	site       told.Site
 }
 
 func (h *host) event(m wire.Message) error {
@@ -154,19 +154,7 @@
 		if err != nil {
 			return err
 		}
-		g := policy.Gauges{Busy: -1, Runnable: -1}
-		for i, name := range h.gauges {
-			if i >= len(row) {
-				break
-			}
-			switch name {
-			case "cpu_busy":
-				g.Busy = row[i]
-			case "runnable":
-				g.Runnable = row[i]
-			}
-		}
-		h.mod.Tick(now, g)
+		h.mod.Tick(now, h.site.Readings(row))
 	case "LAME_DUCK":
 		left, err := m.Seconds("budget_s", false)
 		if err != nil {
@@ -265,10 +253,9 @@
 	if err := json.Unmarshal([]byte(text), &info); err != nil {
 		return m.Bad("info", "a JSON object: "+err.Error())
 	}
-	site := told.Read(info)
-	h.gauges = site.Gauges
+	h.site = told.Read(info)
 	h.start, h.out, h.index, h.ticket, h.spare = h.now, h.out[:0], map[uint64]int{}, nil, nil
-	h.mod = policy.New(h, seed, site.Told)
+	h.mod = policy.New(h, seed, h.site.Told)
 	return nil
 }
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -175,7 +175,7 @@
 func (l *Loop) Do(f func()) {
 	_ = l.el.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 		if f != nil {
-			l.guard("task", f)
+			Guard(l.log, "task", f)
 		}
 		l.round()
 		return nil
@@ -210,7 +210,7 @@
 	}
 	c := &conn{l: l, g: g, peer: p}
 	g.SetContext(c)
-	l.guard("open", func() { p.Opened(c) })
+	Guard(l.log, "open", func() { p.Opened(c) })
 	l.mark()
 	return nil, gnet.None
 }
@@ -225,7 +225,7 @@
 	l.read = true
 	l.mark()
 	err := errors.New("peer failed")
-	l.guard("read", func() { err = c.peer.Read(data) })
+	Guard(l.log, "read", func() { err = c.peer.Read(data) })
 	if err == nil {
 		return gnet.None
 	}
@@ -241,17 +241,17 @@
 			err = net.ErrClosed
 		}
 		c.closing = true
-		l.guard("close", func() { c.peer.Closed(&Broken{true, err}) })
+		Guard(l.log, "close", func() { c.peer.Closed(&Broken{true, err}) })
 		l.mark()
 	}
 	return gnet.None
 }
 
-// guard keeps a panic from going further than the connection or task that it came from.
-func (l *Loop) guard(what string, f func()) {
+// Guard keeps a panic from going further than the connection, task or event that it came from.
+func Guard(log *zap.Logger, what string, f func()) {
 	defer func() {
 		if p := recover(); p != nil {
-			l.log.Error("panic", zap.String("in", what), zap.String("cause", fmt.Sprint(p)), zap.ByteString("stack", debug.Stack()))
+			log.Error("panic", zap.String("in", what), zap.String("cause", fmt.Sprint(p)), zap.ByteString("stack", debug.Stack()))
 		}
 	}()
 	f()
@@ -278,7 +278,7 @@
 		return
 	}
 	phase := l.phase
-	l.guard("round", func() { l.wake, phase = l.host.Round() })
+	Guard(l.log, "round", func() { l.wake, phase = l.host.Round() })
 	for n := 0; n < len(l.dirty); n++ { // flushing may close, and closing may write elsewhere
 		l.dirty[n].flush()
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,8 +8,6 @@
 
 import (
 	"errors"
-	"fmt"
-	"runtime/debug"
 
 	"slices"
 	"strconv"
@@ -35,6 +33,7 @@
 	silence      = 60 * time.Millisecond  // a machine of which nothing is heard for so long stands still
 	mostSilence  = 105 * time.Millisecond // how late a Tick may be for it
 	wakeGap      = 20 * time.Millisecond  // to the next Tick where the module asked for none
+	verdictFor   = 5 * time.Second        // a self-test may take
 	longestWait  = time.Hour
 )
 
@@ -189,7 +188,7 @@
 func New(site told.Site, seed uint64, stop time.Duration, log *zap.Logger) *Instance {
 	n := &Instance{log: log, site: site, seed: seed, stop: stop, free: -1, start: time.Now(),
 		bands: map[string]int{}, clients: map[string]int{}, byRid: map[string]int{},
-		receipts: map[string]*receipt{}, checks: map[string]check{}, gauges: policy.Gauges{Busy: -1, Runnable: -1}}
+		receipts: map[string]*receipt{}, checks: map[string]check{}, gauges: told.NoReadings}
 	for i, name := range site.Bands {
 		n.bands[name] = i
 	}
@@ -216,7 +215,7 @@
 		n.heard = n.now
 	}
 	for _, f := range inbox {
-		n.guard(f)
+		loop.Guard(n.log, "event", f) // its panic must not take along those behind it
 	}
 	if n.mod == nil {
 		n.reports.Sweep(clock, false)
@@ -238,7 +237,7 @@
 		later := n.later
 		n.later = nil
 		for _, f := range later {
-			n.guard(f)
+			loop.Guard(n.log, "join", f)
 		}
 		n.mod.Settle(n.now)
 	}
@@ -253,20 +252,10 @@
 	return next, n.phase()
 }
 
-// guard keeps a panic of one event from taking along those behind it.
-func (n *Instance) guard(f func()) {
-	defer func() {
-		if p := recover(); p != nil {
-			n.log.Error("panic", zap.String("cause", fmt.Sprint(p)), zap.ByteString("stack", debug.Stack()))
-		}
-	}()
-	f()
-}
-
 func (n *Instance) tick() {
 	g := n.gauges
 	if n.now-n.gaugesAt > oldGauges {
-		g = policy.Gauges{Busy: -1, Runnable: -1}
+		g = told.NoReadings
 	}
 	n.wake = n.now + wakeGap
 	n.mod.Tick(n.now, g)
@@ -330,8 +319,7 @@
 		}
 		n.leaving = true
 		n.killAt = n.now + n.stop
-		grace, _ := n.site.Told["grace_s"].(float64)
-		n.graceEnd = n.now + time.Duration(grace*float64(time.Second))
+		n.graceEnd = n.now + n.span("grace_s")
 		if n.mod != nil {
 			n.mod.Leave(n.now, n.stop)
 		}
@@ -372,19 +360,20 @@
 
 func (n *Instance) arrive(w, customer int, ask Ask) {
 	it := &n.items[w]
-	kind, fresh := n.site.Told["band."+strconv.Itoa(it.band)+".kind"], n.site.Told["fresh_s"]
+	at := "band." + strconv.Itoa(it.band) + "."
+	kind := n.site.Told[at+"kind"]
 	work := policy.Work{Band: it.band, Customer: customer, From: ask.From, Repeat: ask.Again, Rank: ask.Rank,
 		KB: ask.KB, Subject: ask.Subject != "", Forerunner: policy.NoForerunner}
 	work.Waited = min(max(time.Since(ask.Came), 0), longestWait)
 	if kind == "receipted" && ask.Receipt != "" {
 		it.key = ask.Band + " " + ask.Receipt
-	} else if f, _ := fresh.(float64); kind == "pure" && ask.Subject != "" && f > 0 {
+	} else if kind == "pure" && ask.Subject != "" && n.span("fresh_s") > 0 {
 		it.key = ask.Band + " " + ask.Subject
 	}
 	n.lastRead = n.now
 	if r := n.receipts[it.key]; it.key != "" && r != nil && n.now-work.Waited <= r.end {
 		work.Forerunner = r.w
-	} else if kind == "receipted" && ask.Again && n.before && n.now-work.Waited < n.first+n.window(it.band) {
+	} else if kind == "receipted" && ask.Again && n.before && n.now-work.Waited < n.first+n.span(at+"window_s") {
 		// The life before this one may have run an earlier try, and nothing of it is known here.
 		work.Forerunner = policy.GoneForerunner
 	}
@@ -416,7 +405,7 @@
 	}
 	n.tests++
 	name := "check" + strconv.Itoa(n.tests)
-	n.checks[name] = check{asker, tag, n.now + 5*time.Second}
+	n.checks[name] = check{asker, tag, n.now + verdictFor}
 	n.runtime.SelfTest(name)
 }
 
@@ -501,8 +490,9 @@
 	return w, ok && n.items[w].started
 }
 
-func (n *Instance) window(band int) time.Duration {
-	s, _ := n.site.Told["band."+strconv.Itoa(band)+".window_s"].(float64)
+// span is a time that the settings tell, 0 if they don't.
+func (n *Instance) span(name string) time.Duration {
+	s, _ := n.site.Told[name].(float64)
 	return time.Duration(s * float64(time.Second))
 }
 
@@ -539,12 +529,10 @@
 		}
 		n.items[w].joins = nil
 		if r != nil && r.ok {
-			n.answer(w, Answer{Kind: Fulfilled, Result: r.result})
-			n.mod.Ended(n.now, w, policy.OK, 0)
-			return
+			n.ended(w, policy.OK, 0, r.result)
+		} else {
+			n.ended(w, policy.Failed, 0, nil)
 		}
-		n.answer(w, Answer{Kind: Scrapped})
-		n.mod.Ended(n.now, w, policy.Failed, 0)
 	})
 }
 
@@ -581,18 +569,7 @@
 
 // Readings are the gauges, in the settings' order.
 func (n *Instance) Readings(row []float64) {
-	n.gauges, n.gaugesAt = policy.Gauges{Busy: -1, Runnable: -1}, time.Since(n.start)
-	for i, name := range n.site.Gauges {
-		if i >= len(row) {
-			break
-		}
-		switch name {
-		case "cpu_busy":
-			n.gauges.Busy = row[i]
-		case "runnable":
-			n.gauges.Runnable = row[i]
-		}
-	}
+	n.gauges, n.gaugesAt = n.site.Readings(row), time.Since(n.start)
 }
 
 func (n *Instance) answer(w int, a Answer) {
--- a/internal/told/told.go
+++ b/internal/told/told.go
@@ -3,7 +3,11 @@
 // or bend a told one: what is missing stays missing, and the module chooses its own default.
 package told
 
-import "strconv"
+import (
+	"strconv"
+
+	"thymechute/policy"
+)
 
 // Site is what the settings say: the module's map, and the names that the adapters need.
 type Site struct {
@@ -34,6 +38,23 @@
 	return Site{told, row(flat, "domain.gauges.", ""), row(flat, "classes.", ".name"), row(flat, "tenants.", ".name")}
 }
 
+// NoReadings are gauges of which nothing is offered.
+var NoReadings = policy.Gauges{Busy: -1, Runnable: -1}
+
+// Readings are a row of gauges, which come in the settings' order.
+func (s Site) Readings(row []float64) policy.Gauges {
+	g := NoReadings
+	for i, name := range s.Gauges[:min(len(s.Gauges), len(row))] {
+		switch name {
+		case "cpu_busy":
+			g.Busy = row[i]
+		case "runnable":
+			g.Runnable = row[i]
+		}
+	}
+	return g
+}
+
 // row returns the texts of one list until the first that is missing.
 func row(flat map[string]any, before, after string) (texts []string) {
 	for i := 0; ; i++ {
