SIGHUP reads the configuration again and moves to its addresses

Now the signals are taken before anything else happens, the file is read and checked off the loop, and a faulty one leaves all as it was, with one line that names the key. The runtime's link is opened anew while the old one serves, and takes its place when it stands (a link is a session, and one that was replaced is heard no more); the index and the catalog go to their new addresses at once. What can't change in a running process is named.

Tests: the program told twice of a faulty file and once of new addresses with a run under way; the link's two sessions.

--- a/cmd/thymechute/main.go
+++ b/cmd/thymechute/main.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
+
 	"thymechute/internal/catalog"
 	"thymechute/internal/config"
 	"thymechute/internal/index"
@@ -29,12 +31,14 @@
 )
 
 func main() {
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP) // none may end the process, however early
 	given, err := config.Load(os.Getenv)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "thymechute:", err)
 		os.Exit(2)
 	}
-	if err := serve(given); err != nil {
+	if err := serve(given, signals); err != nil {
 		fmt.Fprintln(os.Stderr, "thymechute:", err)
 		os.Exit(1)
 	}
@@ -46,7 +50,7 @@
 	*node.Instance
 }
 
-func serve(g config.Given) error {
+func serve(g config.Given, signals <-chan os.Signal) error {
 	runtime.GOMAXPROCS(max(int(math.Ceil(g.Cores)), 1))
 	debug.SetMemoryLimit(int64(float64(g.Memory) * memoryPart))
 	debug.SetGCPercent(moreHeap)
@@ -63,20 +67,42 @@
 	inst := node.New(g.Site, g.Seed, g.Stop, log)
 	front := rpc.NewFront(inst, sockets-keptBack, log)
 	return loop.Run(g.Listen, host{front, inst}, log, func(l *loop.Loop) {
-		dial := func(network, address string) func(loop.Peer) {
-			return func(p loop.Peer) { l.Dial(network, address, dialFor, p) }
+		dial := func(network string, address *string) func(loop.Peer) { // the address may change
+			return func(p loop.Peer) { l.Dial(network, *address, dialFor, p) }
 		}
 		after := func(wait time.Duration, f func()) { time.AfterFunc(wait, func() { l.Do(f) }) }
-		cores := link.NewLink(inst, dial("tcp", g.Runtime), after, g.Seed, log)
-		inst.Connect(cores, index.NewLine(inst, dial("tcp", g.Index), log), front,
-			catalog.New(g.Name, dial("udp", g.Catalog)))
+		cores := link.NewLink(inst, dial("tcp", &g.Runtime), after, g.Seed, log)
+		calls := index.NewLine(inst, dial("tcp", &g.Index), log)
+		reports := catalog.New(g.Name, dial("udp", &g.Catalog))
+		inst.Connect(cores, calls, front, reports)
 		cores.Open()
-		signals := make(chan os.Signal, 1)
-		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 		go func() {
-			for range signals {
-				l.Do(inst.Leave)
+			for s := range signals {
+				if s != syscall.SIGHUP {
+					l.Do(inst.Leave)
+					continue
+				}
+				later, err := config.Load(os.Getenv)
+				if err != nil {
+					log.Error("configuration not taken, the old one stays", zap.Error(err))
+					continue
+				}
+				l.Do(func() {
+					log.Info("configuration read again", zap.String("runtime", later.Runtime), zap.String("index", later.Index),
+						zap.String("directory", later.Catalog), zap.Strings("not changed while running", g.Fixed(later)))
+					move(&g.Runtime, later.Runtime, cores.Open)
+					move(&g.Index, later.Index, calls.Move)
+					move(&g.Catalog, later.Catalog, reports.Move)
+				})
 			}
 		}()
 	})
 }
+
+// move goes to another address.
+func move(address *string, later string, moved func()) {
+	if *address != later {
+		*address = later
+		moved()
+	}
+}
--- a/cmd/thymechute/main_test.go
+++ b/cmd/thymechute/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"os"
@@ -127,6 +128,36 @@
 	}
 }
 
+func TestNewConfigurationMovesToItsAddressesAndWorkGoesOn(t *testing.T) {
+	w := aid.Serve(t, nil)
+	s := w.Stub()
+	s.Ask(1, "excursion", "aa01", body, `,"token":"5c0f"`)
+	w.Runtime.Command("start")
+	good, _ := json.Marshal(w.Given)
+	w.Program.Reload(good[:len(good)/2], "configuration not taken")
+	w.Program.Reload([]byte(strings.Replace(string(good), w.Runtime.Address, "nowhere", 1)), `runtime: found \"nowhere\"`)
+	old, oldIndex := w.Runtime, w.Index
+	w.Runtime, w.Index = aid.NewParty(t), aid.NewParty(t)
+	w.Given["runtime"], w.Given["index"], w.Given["listen"] = w.Runtime.Address, w.Index.Address, aid.FreeAddress(t)
+	again, _ := json.Marshal(w.Given)
+	w.Program.Reload(again, `"not changed while running": ["listen"]`)
+	w.Runtime.Sync(0, "new", 50)
+	if task, _ := w.Runtime.Command("start"); task != "aa01" { // it may not have come
+		t.Errorf("%s was started", task)
+	}
+	old.Down()
+	oldIndex.Down()
+	w.Runtime.Wants(1, "aa01", "call")
+	w.Index.Accept()
+	w.Index.Get()
+	w.Index.Send("aa01 HIT 1\r\nx\r\n")
+	w.Runtime.Command("give")
+	w.Runtime.End(2, "aa01", "good", result)
+	s.Wants(1, 0, result)
+	s.Ask(2, "excursion", "aa02", body, `,"token":"5c0f","again":1`)
+	s.Wants(2, 0, result)
+}
+
 func TestRuntimeStartedAnewHasLostItsRuns(t *testing.T) {
 	w := aid.Serve(t, nil)
 	s := w.Stub()
--- a/internal/aid/aid.go
+++ b/internal/aid/aid.go
@@ -186,6 +186,27 @@
 	mu     sync.Mutex
 	log    bytes.Buffer
 	Exited chan int
+	file   string // its configuration
+}
+
+func (p *Program) write(text []byte) {
+	p.t.Helper()
+	if err := os.WriteFile(p.file, text, 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// Reload replaces the configuration file's text and says so, then waits for a new line of the log with these words.
+func (p *Program) Reload(text []byte, words string) {
+	p.t.Helper()
+	p.write(text)
+	before := strings.Count(p.Log(), words)
+	_ = p.Cmd.Process.Signal(syscall.SIGHUP)
+	for end := time.Now().Add(patience); strings.Count(p.Log(), words) == before; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			p.t.Fatalf("the log does not say %q", words)
+		}
+	}
 }
 
 var built struct {
@@ -218,16 +239,13 @@
 	if built.err != nil {
 		t.Fatal(built.err)
 	}
-	file := filepath.Join(t.TempDir(), "config.json")
+	p := &Program{t: t, Cmd: exec.Command(built.path), Exited: make(chan int, 1), file: filepath.Join(t.TempDir(), "config.json")}
 	text, err := json.Marshal(given)
-	if err == nil {
-		err = os.WriteFile(file, text, 0o600)
-	}
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &Program{t: t, Cmd: exec.Command(built.path), Exited: make(chan int, 1)}
-	p.Cmd.Env = append(os.Environ(), "GW_CONFIG="+file)
+	p.write(text)
+	p.Cmd.Env = append(os.Environ(), "GW_CONFIG="+p.file)
 	if p.Cmd.Stderr = p; log != nil {
 		p.Cmd.Stderr = log
 	}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -16,6 +16,7 @@
 	name    string
 	dial    func(loop.Peer)
 	wire    loop.Wire
+	socket  *socket // the latest
 	dialing bool
 	next    time.Time
 }
@@ -30,8 +31,8 @@
 	}
 	if r.wire == nil {
 		if !r.dialing {
-			r.dialing = true
-			r.dial(r)
+			r.dialing, r.socket = true, &socket{r: r}
+			r.dial(r.socket)
 		}
 		return
 	}
@@ -43,13 +44,37 @@
 	r.wire.Write([]byte("alive " + r.name + state))
 }
 
-func (r *Reporter) Opened(w loop.Wire) { r.wire, r.dialing = w, false }
+// Move reports to a new address from now on: the socket to the old one goes.
+func (r *Reporter) Move() {
+	if r.wire != nil {
+		r.wire.Close()
+	}
+	r.wire, r.dialing, r.next, r.socket = nil, false, time.Time{}, nil
+}
+
+// socket is one of the reporter's; one that was replaced is of no use.
+type socket struct {
+	r    *Reporter
+	wire loop.Wire
+}
+
+func (s *socket) Opened(w loop.Wire) {
+	if s.wire = w; s.r.socket != s {
+		w.Close()
+		return
+	}
+	s.r.wire, s.r.dialing = w, false
+}
 
 // Read drops what comes: reports get no answer.
-func (r *Reporter) Read([]byte) error { return nil }
+func (s *socket) Read([]byte) error { return nil }
 
 // Closed lets the next report open a socket.
-func (r *Reporter) Closed(error) {
+func (s *socket) Closed(error) {
+	r := s.r
+	if r.socket != s {
+		return
+	}
 	if r.wire, r.dialing = nil, false; r.next.Before(time.Now()) {
 		r.next = time.Now().Add(reportEvery)
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -1,4 +1,5 @@
-// Package config is the one place where the program's configuration is read, checked and given defaults. It takes
+// Package config is the one place where the program's configuration is read, checked and given defaults, at the start
+// and again while it runs. It takes
 // GW_CONFIG (the JSON file), and GW_NAME and GW_LISTEN, which win over the file's name and listen. Every error names
 // the faulty key, what was found and what is expected. Unknown keys are ignored. It must never open anything but
 // that file, nor judge the settings' own figures: those are the module's.
@@ -10,6 +11,8 @@
 	"math"
 	"net/netip"
 	"os"
+	"reflect"
+	"slices"
 	"strconv"
 	"time"
 
@@ -81,6 +84,21 @@
 	return g, r.err
 }
 
+// Fixed names the keys in which a later configuration differs but that can't change in a running process.
+func (g Given) Fixed(later Given) (keys []string) {
+	for key, same := range map[string]bool{
+		"name": g.Name == later.Name, "listen": g.Listen == later.Listen, "stop_ms": g.Stop == later.Stop,
+		"limits":   g.Cores == later.Cores && g.Memory == later.Memory && g.Sockets == later.Sockets,
+		"settings": reflect.DeepEqual(g.Site, later.Site),
+	} {
+		if !same {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 // reader reads keys and keeps the first fault.
 type reader struct {
 	at   string
--- a/internal/index/index.go
+++ b/internal/index/index.go
@@ -153,6 +153,14 @@
 	return next
 }
 
+// Move leaves the connection: the address has changed, and the next call opens one to the new one.
+func (l *Line) Move() {
+	if w := l.wire; w != nil {
+		l.Closed(&loop.Broken{Connected: true, Err: errors.New("address changed")})
+		w.Close()
+	}
+}
+
 // Opened writes the calls that wait.
 func (l *Line) Opened(w loop.Wire) {
 	l.wire, l.dialing, l.rest, l.used = w, false, nil, time.Now()
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -126,7 +126,8 @@
 	after  func(time.Duration, func())
 	log    *zap.Logger
 	spread *rand.Rand
-	wire   loop.Wire // none while the link is broken
+	now    *session  // the latest connection, standing or dialled
+	wire   loop.Wire // of the session that commands go to; none while the link is broken
 	in     jsonline.Lines
 	last   uint64 // number of the last notice read
 	caught bool   // the notices missed have been read
@@ -142,14 +143,32 @@
 	return &Link{sink: sink, dial: dial, after: after, log: log, spread: rand.New(rand.NewPCG(seed, 1)), wait: leastWait}
 }
 
-// Open dials.
-func (l *Link) Open() { l.dial(l) }
+// session is one connection of the link. One that was replaced is heard no more: the next has told the runtime how
+// far its notices were read.
+type session struct {
+	l    *Link
+	wire loop.Wire
+}
+
+// Open dials, also where a link stands: that one serves on until the new one is open, which takes its place.
+func (l *Link) Open() {
+	l.now = &session{l: l}
+	l.dial(l.now)
+}
 
 // Up tells whether commands reach the runtime.
 func (l *Link) Up() bool { return l.wire != nil && l.caught }
 
 // Opened says how far the notices were read.
-func (l *Link) Opened(w loop.Wire) {
+func (s *session) Opened(w loop.Wire) {
+	l := s.l
+	if s.wire = w; l.now != s {
+		w.Close()
+		return
+	}
+	if l.wire != nil {
+		l.wire.Close()
+	}
 	l.wire, l.caught, l.odd, l.opened = w, false, 0, time.Now()
 	l.links++
 	l.tag = "sync" + strconv.Itoa(l.links)
@@ -157,18 +176,30 @@
 	l.wire.Write(fmt.Appendf(nil, `{"verb":"sync","index":%d}`+"\n", l.last))
 }
 
-// Closed dials again after a while.
-func (l *Link) Closed(err error) {
-	if l.wire != nil {
+// Closed dials again after a while, unless the next is dialled already.
+func (s *session) Closed(err error) {
+	l := s.l
+	if s.wire != nil && s.wire == l.wire {
 		l.log.Warn("runtime link lost", zap.Error(err))
+		l.wire, l.caught = nil, false
+	}
+	if l.now != s {
+		return
 	}
-	l.wire, l.caught = nil, false
 	wait := time.Duration(float64(l.wait) * (0.5 + l.spread.Float64()))
 	l.wait = min(2*l.wait, mostWait)
-	l.after(wait, l.Open)
+	l.after(wait, func() {
+		if l.now == s {
+			l.Open()
+		}
+	})
 }
 
-func (l *Link) Read(p []byte) error {
+func (s *session) Read(p []byte) error {
+	l := s.l
+	if s.wire != l.wire {
+		return nil
+	}
 	return l.in.Feed(p, func(line []byte) error {
 		n, err := Decode(line)
 		if err != nil {
--- a/internal/runtime/runtime_test.go
+++ b/internal/runtime/runtime_test.go
@@ -33,32 +33,38 @@
 	return NewLink(s, func(loop.Peer) {}, after, 7, zap.NewNop()), s, waits
 }
 
+// open joins the link's newest session to a wire.
+func open(l *Link, w loop.Wire) {
+	l.Open()
+	l.now.Opened(w)
+}
+
 func TestNoticesAreToldOnceAndInOrder(t *testing.T) {
 	l, s, _ := link()
 	w := &aid.Wire{}
-	l.Opened(w)
+	open(l, w)
 	const notices = `{"verb":"ready","outcome":"new","spent":1.5}
 {"verb":"wants","index":1,"task":"a","bytes":"eA=="}
 {"verb":"wants","index":1,"task":"a","bytes":"eQ=="}
 {"index":2,"verb":"end","task":"a","outcome":"good","bytes":"eg==","spent":3}
 `
 	for _, c := range []byte(notices) { // broken at every byte
-		if err := l.Read([]byte{c}); err != nil {
+		if err := l.now.Read([]byte{c}); err != nil {
 			t.Fatal(err)
 		}
 	}
 	if l.Up() {
 		t.Error("up before the notices that were missed have been read")
 	}
-	if err := l.Read([]byte(`{"verb":"load","nonce":"sync1","readings":[1,2]}` + "\n")); err != nil || !l.Up() {
+	if err := l.now.Read([]byte(`{"verb":"load","nonce":"sync1","readings":[1,2]}` + "\n")); err != nil || !l.Up() {
 		t.Errorf("%v, up %v", err, l.Up())
 	}
 	if got := strings.Join(s.got, "; "); got != "ready false 1.5ms; wants a x; end a 1 z; caught up; readings [1 2]" {
 		t.Error(got)
 	}
 	again := &aid.Wire{}
-	l.Closed(&loop.Broken{Connected: true})
-	l.Opened(again)
+	l.now.Closed(&loop.Broken{Connected: true})
+	open(l, again)
 	if l.Up() || !strings.Contains(again.Out, `"index":2`) {
 		t.Errorf("up %v, synced with %q", l.Up(), again.Out)
 	}
@@ -67,7 +73,8 @@
 func TestWaitsBetweenTriesGrowAndEnd(t *testing.T) {
 	l, _, waits := link()
 	for range 12 {
-		l.Closed(&loop.Broken{})
+		l.Open()
+		l.now.Closed(&loop.Broken{})
 	}
 	w := *waits
 	if w[0] > 2*leastWait || w[5] < 4*leastWait || w[11] < mostWait/2 || w[11] > 2*mostWait {
@@ -75,10 +82,30 @@
 	}
 }
 
+func TestNewLinkTakesThePlaceOfTheOldWhenItIsOpen(t *testing.T) {
+	l, s, _ := link()
+	old, w := &aid.Wire{}, &aid.Wire{}
+	open(l, old)
+	first := l.now
+	l.Open()
+	l.Stop("a")
+	if old.Closed || !strings.Contains(old.Out, `"stop"`) {
+		t.Error("the old link does not serve until the new one stands")
+	}
+	l.now.Opened(w)
+	if err := first.Read([]byte(`{"verb":"wants","index":1,"task":"a","bytes":"eA=="}` + "\n")); err != nil || len(s.got) > 0 {
+		t.Errorf("%v, %q heard on the old link", err, s.got)
+	}
+	first.Closed(&loop.Broken{Connected: true})
+	if l.Stop("b"); !old.Closed || !strings.Contains(w.Out, `"b"`) {
+		t.Errorf("closed %v, wrote %q", old.Closed, w.Out)
+	}
+}
+
 func TestRefusedStartIsMoot(t *testing.T) {
 	l, s, _ := link()
-	l.Opened(&aid.Wire{})
-	_ = l.Read([]byte(`{"verb":"nack","outcome":"start","task":"a"}` + "\n" + `{"verb":"nack","outcome":"give","task":"b"}` + "\n"))
+	open(l, &aid.Wire{})
+	_ = l.now.Read([]byte(`{"verb":"nack","outcome":"start","task":"a"}` + "\n" + `{"verb":"nack","outcome":"give","task":"b"}` + "\n"))
 	if len(s.got) != 1 || s.got[0] != fmt.Sprintf("end a %d ", policy.Moot) {
 		t.Errorf("%q", s.got)
 	}
