Bad clients get an error or a close, never another request's result

The receipt is found by its key alone (node.arrive), so a keyed try with another body joined the first and got its result.

Start refused by the runtime (unknown id): its receipt goes, or the rightful try would be answered from it (policy.Ended).

--- a/internal/aid/aid.go
+++ b/internal/aid/aid.go
@@ -416,6 +416,20 @@
 	return task, string(raw)
 }
 
+// Until waits for that command for that task, whatever comes before.
+func (p *Party) Until(verb, task string) {
+	p.t.Helper()
+	for {
+		line, err := p.line()
+		if err != nil {
+			p.t.Fatalf("no %s for %s: %v", verb, task, err)
+		}
+		if strings.Contains(line, `"`+verb+`"`) && strings.Contains(line, `"`+task+`"`) {
+			return
+		}
+	}
+}
+
 func (p *Party) command(verb string) map[string]any {
 	p.t.Helper()
 	for end := time.Now().Add(patience); ; {
--- a/internal/jsonline/jsonline.go
+++ b/internal/jsonline/jsonline.go
@@ -322,6 +322,9 @@
 	Longest int
 }
 
+// Partial tells whether a line has begun that is not whole.
+func (l *Lines) Partial() bool { return len(l.rest) > 0 }
+
 // ErrLong is a line over the longest.
 var ErrLong = errors.New("line too long")
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,7 +8,7 @@
 
 import (
 	"errors"
-
+	"hash/maphash"
 	"slices"
 	"strconv"
 	"time"
@@ -134,6 +134,7 @@
 	end     time.Duration
 	over    bool // the run has ended, or never will
 	ok      bool
+	body    uint64 // digest: all tries of one request carry the same body
 	result  []byte
 	joiners []int
 }
@@ -162,6 +163,7 @@
 	inbox    []func() // what came since the last round, in order
 	later    []func() // what the module must hear after what it is at
 	checks   map[string]check
+	digests  maphash.Seed
 	tests    int // self-tests asked for so far
 
 	good, stored     bool
@@ -188,7 +190,7 @@
 func New(site told.Site, seed uint64, stop time.Duration, log *zap.Logger) *Instance {
 	n := &Instance{log: log, site: site, seed: seed, stop: stop, free: -1, start: time.Now(),
 		bands: map[string]int{}, clients: map[string]int{}, byRid: map[string]int{},
-		receipts: map[string]*receipt{}, checks: map[string]check{}, gauges: told.NoReadings}
+		receipts: map[string]*receipt{}, digests: maphash.MakeSeed(), checks: map[string]check{}, gauges: told.NoReadings}
 	for i, name := range site.Bands {
 		n.bands[name] = i
 	}
@@ -372,6 +374,11 @@
 	}
 	n.lastRead = n.now
 	if r := n.receipts[it.key]; it.key != "" && r != nil && n.now-work.Waited <= r.end {
+		if kind == "receipted" && r.body != n.digest(ask.Body) { // not the same request: it must not get that one's result
+			n.answer(w, Answer{Kind: Scrapped})
+			n.Release(w)
+			return
+		}
 		work.Forerunner = r.w
 	} else if kind == "receipted" && ask.Again && n.before && n.now-work.Waited < n.first+n.span(at+"window_s") {
 		// The life before this one may have run an earlier try, and nothing of it is known here.
@@ -631,6 +638,8 @@
 // LeaveOut goes on without it.
 func (n *Instance) LeaveOut(w int) { n.runtime.LeaveOut(n.items[w].rid) }
 
+func (n *Instance) digest(body []byte) uint64 { return maphash.Bytes(n.digests, body) }
+
 // Record enters the receipt, or moves it to this try.
 func (n *Instance) Record(w int, life time.Duration) {
 	key := n.items[w].key
@@ -642,7 +651,7 @@
 		r = &receipt{}
 		n.receipts[key] = r
 	}
-	r.w, r.end = w, n.now+life
+	r.w, r.end, r.body = w, n.now+life, n.digest(n.items[w].body)
 }
 
 // Forget takes the receipt out.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,14 +36,13 @@
 	leastCalls = 0.05     // part of the share of calls that is used however slow they are
 	shareSlack = 8.0      // items of one customer that may come at once, where two seconds' share is less
 	savedCalls = 0.1      // part of a window's share of calls that may be saved up
-	leastShare = 0.001    // of calls, where less is told
 
 	shedDown, shedEase, shedMost    = 0.1, 0.03, 0.95 // free value: down a calm period, a light one; most
 	busyRoom, busyFull              = 0.9, 0.97       // cores so busy let one more run, one fewer
 	leastPause, leastLimit, idleTry = 0.05, 0.5, 0.01 // advice, seconds; threshold; chance on an idle server
 	jamFrom, jamFull, jamTold       = 0.15, 0.5, 0.5  // unread waits in due times: begins, full; logged from
 	jamCut, jamFade                 = 0.5, 0.9        // of those that run, in a full jam; wait left a Tick
-	callsUp, callsDown              = 0.1, 0.8        // part of the share: grows by a period, is cut to
+	callsUp, callsDown, leastShare  = 0.1, 0.8, 0.001 // share of calls: grows by a period, is cut to; least told
 )
 
 type state uint8
@@ -419,6 +418,7 @@
 			i.host.Scrap(w)
 		}
 	}
+	it.ran = it.ran && o != Moot // a receipt of what was never started must not stand in a later try's way
 	i.drop(w)
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -112,6 +112,18 @@
 	b.Wants(t, 0, "start 1")
 }
 
+func TestReceiptOfWhatWasNeverStartedGoes(t *testing.T) {
+	for _, o := range []Outcome{Moot, Failed} {
+		i, b := fresh(nil)
+		i.Arrived(0, 0, of(1))
+		i.Settle(0)
+		i.Ended(0, 0, o, 0)
+		if b.Wants(t, map[Outcome]int{Moot: 1}[o], "forget 0"); len(i.receipts) != 1-map[Outcome]int{Moot: 1}[o] {
+			t.Errorf("outcome %d leaves %d receipts", o, len(i.receipts))
+		}
+	}
+}
+
 func TestRepeatOfAHeldOneTakesItsPlace(t *testing.T) {
 	i, b := fresh(nil)
 	busy(i, 1, 1)
