A new link to the same runtime no longer counts all its runs as lost

Cause: `ready` tells the age in whole milliseconds, and node.Ready compared its start to the fraction of one, so that half of all new links looked like a younger runtime.

Now a runtime is anew only if it began over 100 ms later than known; a real restart is later by its whole life.

Test: an age off by 2 ms, and one off by a second.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,7 @@
 	wakeGap      = 20 * time.Millisecond  // to the next Tick where the module asked for none
 	verdictFor   = 5 * time.Second        // a self-test may take
 	longestWait  = time.Hour
+	ageSlack     = 100 * time.Millisecond // the runtime's age comes rounded
 )
 
 // Errors of the door; nothing was taken in.
@@ -437,7 +438,7 @@
 			n.mod = policy.New(n, n.seed, n.site.Told)
 			return
 		}
-		if earliest.After(n.began) {
+		if earliest.After(n.began.Add(ageSlack)) {
 			n.log.Warn("runtime started anew: its runs are lost")
 			n.began = latest
 			for w := range n.items {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -93,6 +93,19 @@
 	}
 }
 
+// The runtime tells its age in whole milliseconds: that much younger is the same one.
+func TestRuntimeIsAnewOnlyIfItIsMuchYounger(t *testing.T) {
+	n, s := up(nil)
+	n.ask(s, "a", "pure", "", 0)
+	n.Ready(true, time.Since(n.began)-2*time.Millisecond, time.Now())
+	n.Round()
+	s.wants(t, 0, "answer")
+	n.began = n.began.Add(-time.Second)
+	n.Ready(true, 0, time.Now())
+	n.Round()
+	s.wants(t, 1, "answer a 2")
+}
+
 func TestRepeatReadLateStillMeetsItsReceipt(t *testing.T) {
 	n, s := up(map[string]any{"band.1.window_s": 0.05})
 	n.ask(s, "a", "receipted", "key", 0)
