Calls below go one at a time on pooled connections, so a spoilt reply costs one call

Idle for up to 5 s, a connection could be one that the index had forgotten.

Now a connection carries one call at a time, closes when its call is given up, is used again only within a second and never for the same work item; a bounded pool (an eighth of the descriptors) keeps them, calls over it wait and time out as never sent. A new address leaves the old connections to the calls that are out on them.

--- a/cmd/thymechute/main.go
+++ b/cmd/thymechute/main.go
@@ -24,7 +24,8 @@
 )
 
 const (
-	keptBack   = 48  // descriptors for the links, Go's own and one to turn callers away with
+	own        = 32  // descriptors for the links, Go's own and those on their way; of the rest
+	callPart   = 8   // an eighth goes to calls, three quarters to the stubs
 	memoryPart = 0.7 // of the memory limit, for Go; the rest is the kernel's and the code's
 	moreHeap   = 400 // percent of growth between two collections, under that limit
 	dialFor    = time.Second
@@ -65,14 +66,14 @@
 	log := newLog(g.Name, out)
 
 	inst := node.New(g.Site, g.Seed, g.Stop, log)
-	front := rpc.NewFront(inst, sockets-keptBack, log)
+	front := rpc.NewFront(inst, (sockets-own)*3/4, log)
 	return loop.Run(g.Listen, host{front, inst}, log, func(l *loop.Loop) {
 		dial := func(network string, address *string) func(loop.Peer) { // the address may change
 			return func(p loop.Peer) { l.Dial(network, *address, dialFor, p) }
 		}
 		after := func(wait time.Duration, f func()) { time.AfterFunc(wait, func() { l.Do(f) }) }
 		cores := link.NewLink(inst, dial("tcp", &g.Runtime), after, g.Seed, log)
-		calls := index.NewLine(inst, dial("tcp", &g.Index), log)
+		calls := index.NewPool(inst, dial("tcp", &g.Index), (sockets-own)/callPart, log)
 		reports := catalog.New(g.Name, dial("udp", &g.Catalog))
 		inst.Connect(cores, calls, front, reports)
 		cores.Open()
--- a/internal/index/index.go
+++ b/internal/index/index.go
@@ -1,13 +1,17 @@
-// Package index issues the calls below. A Line keeps one connection for all of them, opened when a call needs it,
-// and a table of the calls that are out (one a work item, emptied by the reply, the time-out, GiveUp or the
-// connection's end). It must never issue a call by itself or a second time, and never say that a call did not run
-// unless that is proved: nothing of it was written, or the index said so.
+// Package index issues the calls below. A Pool keeps connections that carry one call at a time, so that one that breaks
+// or brings nonsense costs no other call, and what comes late or twice finds no call that it could be taken for: a
+// connection on which a call was given up is closed, and never carries a second call of the same work item. Its
+// tables: calls out (one a work item, emptied by the reply, the time-out, GiveUp or the connection's end) and
+// connections (as many as it was given; those without a call go after idleAfter). It must never issue a call by
+// itself or a second time, and never say that a call did not run unless that is proved: nothing of it was
+// written, or the index said so.
 package index
 
 import (
 	"bytes"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -20,7 +24,8 @@
 const (
 	longestHead  = 256
 	longestReply = 64 << 10
-	idleAfter    = 5 * time.Second // without calls; the index closes after 10
+	idleAfter    = time.Second // the index forgets connections, the sooner the likelier one is used in vain
+	mostCalls    = 64          // that one connection carries in its life, as their ids are kept
 	mostOdd      = 20
 )
 
@@ -76,63 +81,134 @@
 }
 
 type call struct {
+	rid          string
 	began, until time.Time
 	body         []byte // emptied when it is written
+	on           *conn  // none: waits for one
 	sent         bool
 }
 
-// Line is the connection to the index.
-type Line struct {
-	sink    Sink
-	dial    func(loop.Peer)
-	log     *zap.Logger
-	wire    loop.Wire // none while there is no connection
-	dialing bool
+// Pool is the connections to the index and the calls on them.
+type Pool struct {
+	sink  Sink
+	dial  func(loop.Peer)
+	log   *zap.Logger
+	most  int
+	conns map[*conn]struct{}
+	idle  []*conn // those of them without a call, the latest used last
+	calls map[string]*call
+	queue []*call // without a connection; emptied as one comes free, and by their time
+	odd   int
+}
+
+// conn is one connection. Out of the pool's table it is heard no more.
+type conn struct {
+	p       *Pool
+	wire    loop.Wire // none before it stands
+	call    *call
+	carried map[string]struct{}
 	rest    []byte // bounded by one reply; emptied by the next
-	calls   map[string]*call
 	used    time.Time
-	odd     int
 }
 
-// NewLine makes a line; dial opens a connection for it.
-func NewLine(sink Sink, dial func(loop.Peer), log *zap.Logger) *Line {
-	return &Line{sink: sink, dial: dial, log: log, calls: map[string]*call{}}
+// NewPool makes a pool of so many connections at most; dial opens one.
+func NewPool(sink Sink, dial func(loop.Peer), most int, log *zap.Logger) *Pool {
+	return &Pool{sink: sink, dial: dial, most: most, log: log, calls: map[string]*call{}, conns: map[*conn]struct{}{}}
 }
 
 // Call issues a call for a work item.
-func (l *Line) Call(rid string, patience time.Duration, body []byte) {
+func (p *Pool) Call(rid string, patience time.Duration, body []byte) {
 	now := time.Now()
-	c := &call{began: now, until: now.Add(patience), body: body}
-	l.calls[rid] = c
-	if l.wire != nil {
-		l.write(rid, c)
-	} else if !l.dialing {
-		l.dialing = true
-		l.dial(l)
-	}
-}
-
-func (l *Line) write(rid string, c *call) {
-	left := max(time.Until(c.until).Milliseconds(), 1)
-	out := fmt.Appendf(nil, "GET %s %d %d\r\n", rid, left, len(c.body))
-	l.wire.Write(append(append(out, c.body...), "\r\n"...))
-	c.sent, c.body, l.used = true, nil, time.Now()
-}
-
-// GiveUp ends a call without a reply.
-func (l *Line) GiveUp(rid string) {
-	if c := l.calls[rid]; c != nil {
-		delete(l.calls, rid)
-		if c.sent && l.wire != nil {
-			l.wire.Write(fmt.Appendf(nil, "STOP %s\r\n", rid))
-			l.used = time.Now()
+	c := &call{rid: rid, began: now, until: now.Add(patience), body: body}
+	p.calls[rid] = c
+	for n := len(p.idle) - 1; n >= 0; n-- {
+		if k := p.idle[n]; now.Sub(k.used) < idleAfter && !k.had(rid) {
+			p.idle = slices.Delete(p.idle, n, n+1)
+			k.carry(c)
+			return
+		}
+	}
+	if len(p.conns) >= p.most && len(p.idle) > 0 {
+		p.drop(p.idle[0])
+	}
+	if len(p.conns) >= p.most {
+		p.queue = append(p.queue, c)
+		return
+	}
+	p.open(c)
+}
+
+func (p *Pool) open(c *call) {
+	k := &conn{p: p, call: c, carried: map[string]struct{}{}}
+	c.on, p.conns[k] = k, struct{}{}
+	p.dial(k)
+}
+
+func (k *conn) had(rid string) bool {
+	_, ok := k.carried[rid]
+	return ok
+}
+
+func (k *conn) carry(c *call) {
+	k.call, c.on, c.sent, k.used = c, k, true, time.Now()
+	k.carried[c.rid] = struct{}{}
+	out := fmt.Appendf(nil, "GET %s %d %d\r\n", c.rid, max(time.Until(c.until).Milliseconds(), 1), len(c.body))
+	k.wire.Write(append(append(out, c.body...), "\r\n"...))
+	c.body = nil
+}
+
+// release looks what a connection without a call is good for.
+func (k *conn) release() {
+	p := k.p
+	if k.call = nil; len(k.carried) >= mostCalls {
+		p.drop(k)
+		return
+	}
+	for n, c := range p.queue {
+		if !k.had(c.rid) {
+			p.queue = slices.Delete(p.queue, n, n+1)
+			k.carry(c)
+			return
+		}
+	}
+	p.idle = append(p.idle, k)
+}
+
+// drop closes a connection: it can't be relied on, or is not needed. Its place goes to a call that waits.
+func (p *Pool) drop(k *conn) {
+	if _, ok := p.conns[k]; !ok {
+		return
+	}
+	delete(p.conns, k)
+	p.idle = slices.DeleteFunc(p.idle, func(x *conn) bool { return x == k })
+	if k.wire != nil {
+		k.wire.Close()
+	}
+	if len(p.queue) > 0 {
+		c := p.queue[0]
+		p.queue = p.queue[1:]
+		p.open(c)
+	}
+}
+
+// GiveUp ends a call without a reply; closing its connection gives it up below too.
+func (p *Pool) GiveUp(rid string) {
+	c := p.calls[rid]
+	if c == nil {
+		return
+	}
+	delete(p.calls, rid)
+	p.queue = slices.DeleteFunc(p.queue, func(x *call) bool { return x == c })
+	if k := c.on; k != nil {
+		if k.call = nil; c.sent {
+			p.drop(k)
 		}
 	}
 }
 
-// Sweep ends the calls whose time is up, and an idle connection; it tells when the next call's time is.
-func (l *Line) Sweep(now time.Time) (next time.Time) {
-	for rid, c := range l.calls {
+// Sweep ends the calls whose time is up, and idle connections; it tells when the next call's time is.
+func (p *Pool) Sweep(now time.Time) (next time.Time) {
+	for rid, c := range p.calls {
 		if now.Before(c.until) {
 			if next.IsZero() || c.until.Before(next) {
 				next = c.until
@@ -143,62 +219,65 @@
 		if c.sent {
 			o = policy.TimedOut
 		}
-		l.GiveUp(rid)
-		l.sink.Returned(rid, o, now.Sub(c.began), nil)
+		p.GiveUp(rid)
+		p.sink.Returned(rid, o, now.Sub(c.began), nil)
 	}
-	if l.wire != nil && len(l.calls) == 0 && now.Sub(l.used) > idleAfter {
-		l.wire.Close()
-		l.wire = nil
+	for len(p.idle) > 0 && now.Sub(p.idle[0].used) > idleAfter {
+		p.drop(p.idle[0])
 	}
 	return next
 }
 
-// Move leaves the connection: the address has changed, and the next call opens one to the new one.
-func (l *Line) Move() {
-	if w := l.wire; w != nil {
-		l.Closed(&loop.Broken{Connected: true, Err: errors.New("address changed")})
-		w.Close()
+// Move leaves all connections, as the address has changed: calls that are out may still come back on theirs.
+func (p *Pool) Move() {
+	for k := range p.conns {
+		switch delete(p.conns, k); {
+		case k.wire == nil && k.call != nil: // on its way to the old address
+			c := k.call
+			k.call = nil
+			p.open(c)
+		case k.call == nil && k.wire != nil:
+			k.wire.Close()
+		}
 	}
+	p.idle = nil
 }
 
-// Opened writes the calls that wait.
-func (l *Line) Opened(w loop.Wire) {
-	l.wire, l.dialing, l.rest, l.used = w, false, nil, time.Now()
-	for rid, c := range l.calls {
-		if !c.sent {
-			l.write(rid, c)
-		}
+// Opened writes the call that it was opened for, or one that waits.
+func (k *conn) Opened(w loop.Wire) {
+	k.wire, k.used = w, time.Now()
+	if _, ok := k.p.conns[k]; !ok {
+		w.Close()
+	} else if k.call != nil {
+		k.carry(k.call)
+	} else {
+		k.release()
 	}
 }
 
-// Closed ends the calls that were on the connection; how far it had come tells what that proves.
-func (l *Line) Closed(err error) {
-	var b *loop.Broken
-	connected := !errors.As(err, &b) || b.Connected
-	if connected && l.wire == nil {
-		return // closed by this side, idle; another may be on its way already
-	}
-	l.wire, l.dialing = nil, false
-	if len(l.calls) > 0 {
-		if l.odd++; l.odd <= mostOdd {
-			l.log.Warn("index lost", zap.Error(err), zap.Int("calls", len(l.calls)))
+// Closed ends the call that was on the connection; how far it had come tells what that proves.
+func (k *conn) Closed(err error) {
+	p := k.p
+	if c := k.call; c != nil {
+		if p.odd++; p.odd <= mostOdd {
+			p.log.Warn("index: call lost", zap.Error(err), zap.String("id", c.rid), zap.Bool("sent", c.sent))
 		}
-	}
-	for rid, c := range l.calls {
 		o := policy.ConnectFailed
 		if c.sent {
 			o = policy.Reset
 		}
-		delete(l.calls, rid)
-		l.sink.Returned(rid, o, time.Since(c.began), nil)
+		k.call = nil
+		delete(p.calls, c.rid)
+		p.sink.Returned(c.rid, o, time.Since(c.began), nil)
 	}
+	k.wire = nil
+	p.drop(k)
 }
 
-func (l *Line) Read(p []byte) error {
-	l.used = time.Now()
-	text := p
-	if len(l.rest) > 0 {
-		text = append(l.rest, p...)
+func (k *conn) Read(b []byte) error {
+	text := b
+	if len(k.rest) > 0 {
+		text = append(k.rest, b...)
 	}
 	for len(text) > 0 {
 		r, n, err := Decode(text)
@@ -208,23 +287,28 @@
 		if err != nil {
 			return err
 		}
-		l.reply(r)
+		k.reply(r)
 		text = text[n:]
 	}
-	l.rest = append([]byte(nil), text...)
+	k.rest = append([]byte(nil), text...)
 	return nil
 }
 
-func (l *Line) reply(r Reply) {
+func (k *conn) reply(r Reply) {
+	p, c := k.p, k.call
 	o, known := outcomes[r.Word]
-	c := l.calls[r.Rid]
-	if !known || c == nil || !c.sent {
-		if !known && l.odd < mostOdd {
-			l.odd++
-			l.log.Warn("index: unknown reply", zap.String("word", r.Word))
+	if !known || c == nil || !c.sent || c.rid != r.Rid {
+		if p.odd++; p.odd <= mostOdd {
+			p.log.Warn("index: reply to no call", zap.String("id", r.Rid), zap.String("word", r.Word))
 		}
 		return
 	}
-	delete(l.calls, r.Rid)
-	l.sink.Returned(r.Rid, o, time.Since(c.began), bytes.Clone(r.Body))
+	delete(p.calls, c.rid)
+	p.sink.Returned(c.rid, o, time.Since(c.began), bytes.Clone(r.Body))
+	if _, ok := p.conns[k]; ok {
+		k.release()
+	} else { // the address has changed meanwhile
+		k.call = nil
+		k.wire.Close()
+	}
 }
