Ten reports to the catalog while an entry lasts

Now every 300 ms: ten in a row must be lost. Excluded: a socket that fails (no error, and the entries come back by themselves).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,4 +1,5 @@
-// Package catalog reports to the catalog that this instance is here: one datagram a second, three words, no answer.
+// Package catalog reports to the catalog that this instance is here: datagrams of three words, no answer. An entry
+// lasts 3 s and any report may be lost, so that ten go out in that time.
 // The socket joins the loop. It must never wait for it, and nothing that goes wrong with it may reach further: a
 // broken socket is opened anew for the next report. It keeps no table.
 package catalog
@@ -9,7 +10,7 @@
 	"thymechute/internal/loop"
 )
 
-const reportEvery = time.Second
+const reportEvery = 300 * time.Millisecond
 
 // Reporter sends the reports.
 type Reporter struct {
