Bounds of receipts, items and unread output follow from the memory limit

By reading: 12,000 receipts with results of 4 KiB are 48 MB, output unread 24 MB, beside a limit that may be 32 MB; at the bound of receipts pure work was refused too; refusals at a full door named no time.

Now items and receipts (with results, counted in bytes) may take a quarter of the memory each, unread output an eighth; a result without room is given to who waits but not kept; only receipted work is refused for want of receipts, with a time to come back. The heap doubles at most between collections.

--- a/cmd/thymechute/main.go
+++ b/cmd/thymechute/main.go
@@ -27,7 +27,7 @@
 	own        = 32  // descriptors for the links, Go's own and those on their way; of the rest
 	callPart   = 8   // an eighth goes to calls, three quarters to the stubs
 	memoryPart = 0.7 // of the memory limit, for Go; the rest is the kernel's and the code's
-	moreHeap   = 400 // percent of growth between two collections, under that limit
+	moreHeap   = 100 // percent of growth between two collections, under that limit
 	dialFor    = time.Second
 )
 
@@ -65,9 +65,9 @@
 	defer out.close()
 	log := newLog(g.Name, out)
 
-	inst := node.New(g.Site, g.Seed, g.Stop, log)
+	inst := node.New(g.Site, g.Seed, g.Stop, g.Memory, log)
 	front := rpc.NewFront(inst, (sockets-own)*3/4, log)
-	return loop.Run(g.Listen, host{front, inst}, log, func(l *loop.Loop) {
+	return loop.Run(g.Listen, host{front, inst}, g.Memory, log, func(l *loop.Loop) {
 		dial := func(network string, address *string) func(loop.Peer) { // the address may change
 			return func(p loop.Peer) { l.Dial(network, *address, dialFor, p) }
 		}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -3,7 +3,7 @@
 // it, and writes out what the peers have put down by then. Connections are accepted and dialled on goroutines of
 // their own and join the loop when they stand. It must never block, decide, or know what the bytes mean; an
 // error or a panic in a peer ends that peer's connection and nothing else. Its tables: dirty (emptied each round)
-// and stuck (bounded by mostUnsent and mostUnsentAll; emptied as the peers read).
+// and stuck (bounded by mostUnsent each and an eighth of the memory in all; emptied as the peers read).
 package loop
 
 import (
@@ -22,13 +22,12 @@
 )
 
 const (
-	mostUnsent    = 256 << 10             // bytes that one peer may leave unread before its connection is closed
-	mostUnsentAll = 24 << 20              // and all together
-	keptBuffer    = 16 << 10              // output buffers over it are given back when they are empty
-	lateWake      = 50 * time.Millisecond // a wake so late tells of a standstill
-	mostGathers   = 64                    // rounds put off after a standstill while still more comes in
-	readBuffer    = 64 << 10              // what one connection may bring at a time
-	acceptGap     = 5 * time.Millisecond  // after a failed accept
+	mostUnsent  = 256 << 10             // bytes that one peer may leave unread before its connection is closed
+	keptBuffer  = 16 << 10              // output buffers over it are given back when they are empty
+	lateWake    = 50 * time.Millisecond // a wake so late tells of a standstill
+	mostGathers = 64                    // rounds put off after a standstill while still more comes in
+	readBuffer  = 64 << 10              // what one connection may bring at a time
+	acceptGap   = 5 * time.Millisecond  // after a failed accept
 )
 
 // Wire is a connection as its peer sees it. All calls are made on the loop.
@@ -93,6 +92,7 @@
 	phase   Phase
 	dirty   []*conn // have output or are to be closed
 	stuck   map[*conn]struct{}
+	unsent  int // bytes that all together may leave unread
 }
 
 type conn struct {
@@ -104,8 +104,8 @@
 	closing bool
 }
 
-// Run serves on the address until the host has ended. first is called once on the loop before anything else.
-func Run(address string, host Host, log *zap.Logger, first func(*Loop)) error {
+// Run serves on the address, within the memory, until the host has ended. first is called once on the loop before anything else.
+func Run(address string, host Host, memory int64, log *zap.Logger, first func(*Loop)) error {
 	// Who supervises the instance may keep its address bound between two lives, so it has to be shared.
 	shared := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
 		failed := c.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) })
@@ -115,7 +115,8 @@
 	if err != nil {
 		return err
 	}
-	l := &Loop{host: host, log: log, listen: listen, ended: make(chan struct{}), stuck: map[*conn]struct{}{}}
+	l := &Loop{host: host, log: log, listen: listen, ended: make(chan struct{}), stuck: map[*conn]struct{}{},
+		unsent: int(memory / 8)}
 	l.client, err = gnet.NewClient(l, gnet.WithNumEventLoop(1), gnet.WithReadBufferCap(readBuffer),
 		gnet.WithLogger(log.Sugar()), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
 	if err == nil {
@@ -323,7 +324,7 @@
 				worst, most = c, n
 			}
 		}
-		if most <= mostUnsent && all <= mostUnsentAll {
+		if most <= mostUnsent && all <= l.unsent {
 			return
 		}
 		l.log.Warn("connection closed", zap.String("error", "peer does not read"), zap.Int("unsent", most))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,8 +2,8 @@
 // happens to the decision module and what the module does to the runtime, the index and the callers. It knows work
 // items, not messages: every protocol comes in by the same door (Arrive, Gone, Check) and answers through its own
 // Asker. It must never decide what runs, waits or is turned back, never block, and never be entered from
-// another goroutine than the loop's. Its tables: items (mostItems; emptied by the module's Release), receipts
-// (mostReceipts; emptied by the module's Forget and by time), inbox and later (emptied each round).
+// another goroutine than the loop's. Its tables: items (a quarter of the memory; emptied by the module's Release),
+// receipts (a quarter; emptied by the module's Forget and by time), inbox and later (emptied each round).
 package node
 
 import (
@@ -21,21 +21,23 @@
 )
 
 const (
-	mostItems    = 4096
-	mostReceipts = 12000                  // with a result of 4 KiB each
-	afterEnd     = 2 * time.Second        // a receipt outlives its end by this, for what is read late
-	sweepEvery   = 500 * time.Millisecond // receipts
-	oldGauges    = 200 * time.Millisecond // readings older than this are not offered
-	quietBefore  = 200 * time.Millisecond // nothing may have come for so long before an early end
-	closeBefore  = 300 * time.Millisecond // before the kill: no further connection
-	closeFor     = 100 * time.Millisecond // what crossed the listener's end is answered for so long
-	lastCall     = 60 * time.Millisecond  // before the kill: the end at the latest
-	silence      = 60 * time.Millisecond  // a machine of which nothing is heard for so long stands still
-	mostSilence  = 105 * time.Millisecond // how late a Tick may be for it
-	wakeGap      = 20 * time.Millisecond  // to the next Tick where the module asked for none
-	verdictFor   = 5 * time.Second        // a self-test may take
-	longestWait  = time.Hour
-	ageSlack     = 100 * time.Millisecond // the runtime's age comes rounded
+	itemBytes   = 8 << 10                // of memory that a work item may take, with its body and its call's
+	entryBytes  = 512                    // a receipt, besides its result
+	mostChecks  = 64                     // deep ones at a time
+	fullPause   = 500 * time.Millisecond // where there is no room
+	afterEnd    = 2 * time.Second        // a receipt outlives its end by this, for what is read late
+	sweepEvery  = 500 * time.Millisecond // receipts
+	oldGauges   = 200 * time.Millisecond // readings older than this are not offered
+	quietBefore = 200 * time.Millisecond // nothing may have come for so long before an early end
+	closeBefore = 300 * time.Millisecond // before the kill: no further connection
+	closeFor    = 100 * time.Millisecond // what crossed the listener's end is answered for so long
+	lastCall    = 60 * time.Millisecond  // before the kill: the end at the latest
+	silence     = 60 * time.Millisecond  // a machine of which nothing is heard for so long stands still
+	mostSilence = 105 * time.Millisecond // how late a Tick may be for it
+	wakeGap     = 20 * time.Millisecond  // to the next Tick where the module asked for none
+	verdictFor  = 5 * time.Second        // a self-test may take
+	longestWait = time.Hour
+	ageSlack    = 100 * time.Millisecond // the runtime's age comes rounded
 )
 
 // Errors of the door; nothing was taken in.
@@ -43,7 +45,6 @@
 	ErrBand     = errors.New("unknown band")
 	ErrCustomer = errors.New("unknown customer")
 	ErrTwice    = errors.New("id is in use")
-	ErrFull     = errors.New("no room") // or not up yet: it never ran
 )
 
 // Ask is a work item as a protocol hands it in.
@@ -146,6 +147,8 @@
 	site    told.Site
 	seed    uint64
 	stop    time.Duration // from notice to kill
+	room    int           // bytes for items, and as many for receipts
+	kept    int           // of it, taken by receipts
 	bands   map[string]int
 	clients map[string]int
 	runtime Runtime
@@ -187,9 +190,9 @@
 	until time.Duration
 }
 
-// New makes an instance that waits for its runtime.
-func New(site told.Site, seed uint64, stop time.Duration, log *zap.Logger) *Instance {
-	n := &Instance{log: log, site: site, seed: seed, stop: stop, free: -1, start: time.Now(),
+// New makes an instance that waits for its runtime. Its tables follow from the memory it may have.
+func New(site told.Site, seed uint64, stop time.Duration, memory int64, log *zap.Logger) *Instance {
+	n := &Instance{log: log, site: site, seed: seed, stop: stop, room: int(memory / 4), free: -1, start: time.Now(),
 		bands: map[string]int{}, clients: map[string]int{}, byRid: map[string]int{},
 		receipts: map[string]*receipt{}, digests: maphash.MakeSeed(), checks: map[string]check{}, gauges: told.NoReadings}
 	for i, name := range site.Bands {
@@ -303,7 +306,7 @@
 	n.swept = n.now + sweepEvery
 	for key, r := range n.receipts {
 		if n.now > r.end+afterEnd && r.w < 0 && len(r.joiners) == 0 {
-			delete(n.receipts, key)
+			n.discard(key)
 		}
 	}
 	for tag, c := range n.checks {
@@ -345,8 +348,14 @@
 	if _, ok := n.byRid[ask.Rid]; ok {
 		return ErrTwice
 	}
-	if n.mod == nil || n.live >= mostItems || len(n.receipts) >= mostReceipts {
-		return ErrFull
+	full := n.kept >= n.room && n.site.Told["band."+strconv.Itoa(band)+".kind"] == "receipted"
+	if n.mod == nil || n.live*itemBytes >= n.room || full { // it never ran
+		var pause time.Duration
+		if n.site.Told["come_back"] != false {
+			pause = min(fullPause, n.span("come_back_s"))
+		}
+		asker.Answer(tag, Answer{Kind: TurnedBack, ComeBack: pause, Free: n.free})
+		return nil
 	}
 	w := len(n.items)
 	if k := len(n.spare); k > 0 {
@@ -407,7 +416,7 @@
 
 // Check answers a health check, at once or when the runtime has done its work.
 func (n *Instance) Check(asker Asker, tag string, full bool) {
-	if !full || n.stored || n.mod == nil || !n.runtime.Up() || len(n.checks) >= mostItems {
+	if !full || n.stored || n.mod == nil || !n.runtime.Up() || len(n.checks) >= mostChecks {
 		asker.Checked(tag, n.mod != nil && n.good, n.free)
 		return
 	}
@@ -520,24 +529,35 @@
 	n.mod.Ended(n.now, w, o, took)
 }
 
-// conclude keeps a result for as long as the receipt stands, and gives it to who waits for it.
+// conclude gives a result to who waits for it, and keeps it for as long as the receipt stands.
 func (n *Instance) conclude(r *receipt, ok bool, result []byte) {
-	r.over, r.ok, r.result = true, ok, result
+	r.over = true
 	for _, w := range r.joiners {
-		n.settleJoin(w, r)
+		n.settleJoin(w, ok, result)
+	}
+	if r.joiners = nil; n.kept+len(result) <= n.room { // else a repeat gets an error
+		r.ok, r.result = ok, result
+		n.kept += len(result)
+	}
+}
+
+// discard forgets a key.
+func (n *Instance) discard(key string) {
+	if r := n.receipts[key]; r != nil {
+		n.kept -= entryBytes + len(r.result)
+		delete(n.receipts, key)
 	}
-	r.joiners = nil
 }
 
-func (n *Instance) settleJoin(w int, r *receipt) {
+func (n *Instance) settleJoin(w int, good bool, result []byte) {
 	rid := n.items[w].rid
 	n.later = append(n.later, func() {
 		if at, ok := n.byRid[rid]; !ok || at != w {
 			return
 		}
 		n.items[w].joins = nil
-		if r != nil && r.ok {
-			n.ended(w, policy.OK, 0, r.result)
+		if good {
+			n.ended(w, policy.OK, 0, result)
 		} else {
 			n.ended(w, policy.Failed, 0, nil)
 		}
@@ -649,8 +669,10 @@
 	}
 	r := n.receipts[key]
 	if r == nil || r.over { // an entry past its window must not lend its result to the next
+		n.discard(key)
 		r = &receipt{}
 		n.receipts[key] = r
+		n.kept += entryBytes
 	}
 	r.w, r.end, r.body = w, n.now+life, n.digest(n.items[w].body)
 }
@@ -658,7 +680,7 @@
 // Forget takes the receipt out.
 func (n *Instance) Forget(w int) {
 	if key := n.items[w].key; n.receipts[key] != nil && n.receipts[key].w == w {
-		delete(n.receipts, key)
+		n.discard(key)
 	}
 }
 
@@ -666,8 +688,11 @@
 func (n *Instance) Join(w int) {
 	it := &n.items[w]
 	r := n.receipts[it.key]
-	if r == nil || r.over {
-		n.settleJoin(w, r)
+	if r == nil {
+		r = &receipt{over: true}
+	}
+	if r.over {
+		n.settleJoin(w, r.ok, r.result)
 		return
 	}
 	it.joins = r
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -60,7 +60,7 @@
 // up is an instance whose runtime is up; bands pure, receipted and effectful.
 func up(more map[string]any) (*Instance, *sides) {
 	s := &sides{}
-	n := New(told.Site{Told: aid.Told(more), Bands: []string{"pure", "receipted", "effectful"}}, 7, 3*time.Second, zap.NewNop())
+	n := New(told.Site{Told: aid.Told(more), Bands: []string{"pure", "receipted", "effectful"}}, 7, 3*time.Second, 192<<20, zap.NewNop())
 	n.Connect(s, s, front{s}, reports{})
 	n.Ready(false, 0, time.Now())
 	n.Round()
@@ -106,6 +106,39 @@
 	s.wants(t, 1, "answer a 2")
 }
 
+func TestReceiptsStayWithinTheirMemory(t *testing.T) {
+	n, s := up(nil)
+	n.room = 2*entryBytes + 4
+	n.ask(s, "a", "receipted", "one", 0)
+	n.ask(s, "b", "receipted", "one", 0) // joins
+	n.End("a", policy.OK, 0, []byte("five!"))
+	n.Round()
+	s.wants(t, 1, "answer b 0 five!") // though it isn't kept
+	n.ask(s, "c", "receipted", "one", 0)
+	s.wants(t, 1, "answer c 2")
+	n.ask(s, "d", "receipted", "two", 0)
+	n.End("d", policy.OK, 0, []byte("four"))
+	n.Round()
+	n.ask(s, "e", "receipted", "two", 0)
+	s.wants(t, 1, "answer e 0 four")
+	n.room = n.kept
+	n.ask(s, "f", "receipted", "three", 0)
+	s.wants(t, 1, "answer f 1")
+	for _, r := range n.receipts {
+		r.end = n.now - time.Minute
+	}
+	n.sweep()
+	if n.kept != 0 || len(n.receipts) != 0 {
+		t.Errorf("%d bytes, %d receipts left", n.kept, len(n.receipts))
+	}
+	if n.room = itemBytes; n.live > 0 {
+		t.Fatalf("%d live", n.live)
+	}
+	n.ask(s, "g", "pure", "", 0)
+	n.ask(s, "h", "pure", "", 0)
+	s.wants(t, 1, "answer h 1")
+}
+
 func TestRepeatReadLateStillMeetsItsReceipt(t *testing.T) {
 	n, s := up(map[string]any{"band.1.window_s": 0.05})
 	n.ask(s, "a", "receipted", "key", 0)
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -420,8 +420,6 @@
 		return &Fault{codeMethod, err}
 	case errors.Is(err, node.ErrCustomer):
 		return &Fault{codeParams, err}
-	case errors.Is(err, node.ErrFull):
-		return &Fault{codeRefused, err}
 	}
 	return &Fault{codeRequest, err}
 }
