--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -348,7 +348,8 @@
 	if _, ok := n.byRid[ask.Rid]; ok {
 		return ErrTwice
 	}
-	full := n.kept >= n.room && n.site.Told["band."+strconv.Itoa(band)+".kind"] == "receipted"
+	full := n.kept >= n.room && n.site.Told["band."+strconv.Itoa(band)+".kind"] == "receipted" &&
+		n.receipts[ask.Band+" "+ask.Receipt] == nil
 	if n.mod == nil || n.live*itemBytes >= n.room || full { // it never ran
 		var pause time.Duration
 		if n.site.Told["come_back"] != false {
