Calls go to the newest that stands, none that would be cut, and a cut one is no failure

Excluded: too many calls of ours (5 to 11 out in all, told share 11 an instance; it is as slow with 1.5 out), the release's lost instance (its refusals begin 2 s later), memory and cores (probe before).

Now the newest of equals is called; none that has less time than calls take lately, unless none is out; a call cut short of that neither fails, nor teaches a time, nor delays the next trial.

The tests fail when any of the three is taken out.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,25 +23,21 @@
 	dampening  = 2        // crossings in a row before the flag goes up
 	shedGain   = 0.3      // part of the share turned back that the free value takes over a period
 	margin     = 40 * ms  // answers leave so long before they are due
-	leastFit   = 0.8      // part of its expected run that must fit before the due time
-	fill       = 0.95     // share of memory that is used
 	again      = 0.25     // payoff of a marked repeat: much of its time is used up already
 	crowdPart  = 0.75     // share of the survived crowd that is used
 	stall      = 100 * ms // a Tick so late tells of a standstill
-	callSlow   = 0.1      // part of the due time over which calls are slow
-	failures   = 5        // calls failed in a row before they stop
-	trialGap   = 500 * ms // between single trials
 	leastIdle  = 0.1      // part of the callers' own time after which idle connections may close
-	standPart  = 0.15     // of its due time that what can do without a call stands for it
-	leastCalls = 0.05     // part of the share of calls that is used however slow they are
 	shareSlack = 8.0      // items of one customer that may come at once, where two seconds' share is less
-	savedCalls = 0.1      // part of a window's share of calls that may be saved up
 
 	shedDown, shedEase, shedMost    = 0.1, 0.03, 0.95 // free value: down a calm period, a light one; most
 	busyRoom, busyFull              = 0.9, 0.97       // cores so busy let one more run, one fewer
 	leastPause, leastLimit, idleTry = 0.05, 0.5, 0.01 // advice, seconds; threshold; chance on an idle server
 	jamFrom, jamFull, jamTold       = 0.15, 0.5, 0.5  // unread waits in due times: begins, full; logged from
 	jamCut, jamFade                 = 0.5, 0.9        // of those that run, in a full jam; wait left a Tick
+	leastFit, fill                  = 0.8, 0.95       // of its run that must fit before the due time; of memory that is used
+	failures, trialGap              = 5, 500 * ms     // calls failed in a row before they stop; between trials
+	callSlow, standPart             = 0.1, 0.15       // of a due time: calls over it are slow; stood for one that can be left out
+	leastCalls, savedCalls          = 0.05, 0.1       // of the share of calls: used however slow they are; may be saved up
 	callsUp, callsDown, leastShare  = 0.1, 0.8, 0.001 // share of calls: grows by a period, is cut to; least told
 )
 
@@ -196,7 +192,7 @@
 	// The memory that the starts still open need is left free, or held work would block them.
 	need := i.receiptKB(it) + float64(max(int(i.width)-i.onCores, 1))*i.size*(i.num("run_memory", 1)-1)
 	for full := i.flag && i.waiting() > 0 || i.random() < i.jam(); full || !i.fits(need); full = false {
-		least := slices.MinFunc(append([]int{w}, i.held...), i.byDensity(now))
+		least := slices.MinFunc(append([]int{w}, i.held...), i.byDensity(now, 1))
 		// No other server helps what was elsewhere already, nor where so much is turned back here.
 		i.turnBack(now, least, i.items[least].Repeat || i.turnedShare > everywhere)
 		if least == w {
@@ -307,10 +303,10 @@
 	return math.Exp2(math.Round(math.Log2(max(payoff, 0))))
 }
 
-func (i *Instance) byDensity(now time.Duration) func(a, b int) int {
-	return func(a, b int) int { // of equal ones the newer is the less
+func (i *Instance) byDensity(now time.Duration, newer int) func(a, b int) int {
+	return func(a, b int) int { // of equal ones the newer is the less where newer is 1, the more where it is -1
 		return cmp.Or(cmp.Compare(i.density(now, a), i.density(now, b)),
-			cmp.Compare(i.items[b].arrived, i.items[a].arrived))
+			newer*cmp.Compare(i.items[b].arrived, i.items[a].arrived))
 	}
 }
 
@@ -463,11 +459,12 @@
 	}
 	for len(i.standing) > 0 {
 		out, share := i.meter(now)
-		if out >= share || out+1 > share && i.overCalled > 0 || down && (i.calls > 0 || now < i.nextTrial) {
+		w := slices.MaxFunc(i.standing, i.byDensity(now, -1)) // of equal ones the newest: it has time for its call
+		it := &i.items[w]
+		late := i.calls > 0 && (it.use-now).Seconds() < i.callTook // it would be cut, and waste what lies below
+		if late || out >= share || out+1 > share && i.overCalled > 0 || down && (i.calls > 0 || now < i.nextTrial) {
 			return
 		}
-		w := slices.MaxFunc(i.standing, i.byDensity(now))
-		it := &i.items[w]
 		i.standing = without(i.standing, w)
 		it.state, i.calls = calling, i.calls+1
 		i.host.Call(w, max(min(it.use, it.due-margin)-now, 10*ms))
@@ -509,7 +506,8 @@
 	}
 	i.callOver(now, o == TimedOut || o == Reset || o == Unclear)
 	i.resume(now, w)
-	if o == OK || o == TimedOut { // what is turned away at once tells nothing of the time a call takes
+	cut := o == TimedOut && took.Seconds() < i.callTook // had less time than calls take
+	if o == OK || o == TimedOut && !cut {               // what is turned away tells nothing of a call's time
 		learn(&i.callTook, took.Seconds(), 7)
 	}
 	if o == OK {
@@ -519,9 +517,11 @@
 		i.fails = 0
 		return
 	}
-	i.nextTrial = now + trialGap
-	if i.fails++; i.fails == failures {
-		i.host.Log("calls stopped: %d failed in a row", i.fails)
+	if !cut { // it must not stop calls, nor be the trial that keeps them stopped
+		i.nextTrial = now + trialGap
+		if i.fails++; i.fails == failures {
+			i.host.Log("calls stopped: %d failed in a row", i.fails)
+		}
 	}
 	b := &i.bands[it.Band]
 	if !it.answered && b.poorer > 0 {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -538,3 +538,46 @@
 		}
 	}
 }
+
+// A call that had less time than calls take tells nothing of what lies below: such trials kept calls stopped for ever.
+func TestCallCutShortIsNoFailureNorTrial(t *testing.T) {
+	i, b := fresh(map[string]any{"calls_share": 9.0, "crowd": 20.0})
+	i.width, i.callTook, i.bands[0].base = 9, 0.2, 0.1
+	for w := range 3 {
+		i.Arrived(0, w, of(0))
+	}
+	i.Settle(0)
+	for w := range 3 {
+		i.AtCall(time.Duration(w)*ms, w)
+	}
+	i.fails, i.items[2].use, i.items[2].arrived = failures, 990*ms, 10*ms
+	i.Settle(700 * ms)
+	b.Wants(t, 1, "call 2") // the newest, though the others have stood longer
+	i.Returned(710*ms, 2, TimedOut, 10*ms)
+	if i.fails != failures || i.nextTrial != 0 || i.callTook != 0.2 {
+		t.Errorf("%d failures, next trial at %v, calls take %v", i.fails, i.nextTrial, i.callTook)
+	}
+	i.AtCall(710*ms, 2)
+	i.Settle(711 * ms)
+	b.Wants(t, 2, "call")
+	i.Returned(960*ms, 2, TimedOut, 250*ms)
+	if i.fails != failures+1 || i.callTook <= 0.2 {
+		t.Errorf("%d failures, calls take %v", i.fails, i.callTook)
+	}
+}
+
+func TestNoCallIsIssuedThatWouldBeCut(t *testing.T) {
+	i, b := fresh(map[string]any{"calls_share": 9.0, "crowd": 20.0})
+	i.width, i.callTook = 9, 0.2
+	for w := range 2 {
+		i.Arrived(0, w, of(0))
+	}
+	i.Settle(0)
+	i.AtCall(800*ms, 0)
+	i.AtCall(800*ms, 1)
+	i.Settle(800 * ms)
+	b.Wants(t, 1, "call") // one, as none is out; the other has 160 ms
+	i.callTook = 0.1
+	i.Settle(801 * ms)
+	b.Wants(t, 2, "call")
+}
