An idle server starts work that may need a call behind calls that stand

Seen (probe): while what lies below is slow, work of the band with calls is held behind one standing item, and no server's cores are over half busy: ends fall from 480 to 200 a second although a part of that band never comes to a call. Line at fault: `stopped` in policy.Settle, blind to idle cores. Now it does not stop while under half of the cores run and fewer items stand than there are cores; the module's other rule for idle servers has the same bound.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,8 +23,6 @@
 	dampening  = 2        // crossings in a row before the flag goes up
 	shedGain   = 0.3      // part of the share turned back that the free value takes over a period
 	margin     = 40 * ms  // answers leave so long before they are due
-	again      = 0.25     // payoff of a marked repeat: much of its time is used up already
-	crowdPart  = 0.75     // share of the survived crowd that is used
 	stall      = 100 * ms // a Tick so late tells of a standstill
 	leastIdle  = 0.1      // part of the callers' own time after which idle connections may close
 	shareSlack = 8.0      // items of one customer that may come at once, where two seconds' share is less
@@ -34,6 +32,7 @@
 	leastPause, leastLimit, idleTry = 0.05, 0.5, 0.01 // advice, seconds; threshold; chance on an idle server
 	jamFrom, jamFull, jamTold       = 0.15, 0.5, 0.5  // unread waits in due times: begins, full; logged from
 	jamCut, jamFade                 = 0.5, 0.9        // of those that run, in a full jam; wait left a Tick
+	again, crowdPart                = 0.25, 0.75      // payoff of a marked repeat, late as it is; share used of the survived crowd
 	leastFit, fill                  = 0.8, 0.95       // of its run that must fit before the due time; of memory that is used
 	failures, trialGap              = 5, 500 * ms     // calls failed in a row before they stop; between trials
 	callSlow, standPart             = 0.1, 0.15       // of a due time: calls over it are slow; stood for one that can be left out
@@ -354,9 +353,10 @@
 // Settle starts work and issues calls once all that came in together has been told.
 func (i *Instance) Settle(now time.Duration) {
 	i.serveCalls(now)
-	// Of those that can't do without a call none starts behind one that stands for its, or for a trial.
-	stopped := len(i.standing) > 0 || i.fails >= failures && i.calls > 0
 	for i.room(now) > 0 && len(i.held) > 0 {
+		// None that can't do without a call starts behind one that stands for its, or for a trial.
+		idle := 2*i.onCores < i.cores && len(i.standing) < i.cores // trying costs nothing: not all come to a call
+		stopped := !idle && (len(i.standing) > 0 || i.fails >= failures && i.calls > 0)
 		best, most := -1, 0.0
 		for n := len(i.held) - 1; n >= 0; n-- {
 			w := i.held[n]
