What the runtime never started counts in no lag

By reading: a start that the runtime refuses (an id it does not know, from a bad client) ended in policy.Ended like a run and entered the sample of lag with a ratio near 1, so that a flood of such could hold lag down. Now it does not. The test fails without the condition.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -396,7 +396,7 @@
 	case calling:
 		i.callOver(now, true)
 	}
-	if !it.answered && it.state != joined {
+	if !it.answered && it.state != joined && o != Moot { // what was never started, as the runtime knew none, has no lag
 		i.sample(now, it)
 		if o == OK {
 			i.done++
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -121,6 +121,9 @@
 		if b.Wants(t, map[Outcome]int{Moot: 1}[o], "forget 0"); len(i.receipts) != 1-map[Outcome]int{Moot: 1}[o] {
 			t.Errorf("outcome %d leaves %d receipts", o, len(i.receipts))
 		}
+		if seen := i.count[0] > 0; seen != (o != Moot) { // nor may it steer lag
+			t.Errorf("outcome %d counts in lag: %v", o, seen)
+		}
 	}
 }
 
