A new address is dialled once for each call that waits, also for those without a connection

Found on reading again: index.Pool.Move added connections to the table it was going through, so that one just dialled could be met again and dialled anew; and calls queued for a place stayed queued, as those that kept the places were out of the table. Now it works on the old table, puts what waits into the queue, and fill, which Call and drop use too, opens for all. The test fails without it (the queued call waits).

--- a/internal/index/index.go
+++ b/internal/index/index.go
@@ -101,7 +101,7 @@
 	odd   int
 }
 
-// conn is one connection. Out of the pool's table it is heard no more.
+// conn is one connection. Out of the pool's table it takes no further call.
 type conn struct {
 	p       *Pool
 	wire    loop.Wire // none before it stands
@@ -131,17 +131,17 @@
 	if len(p.conns) >= p.most && len(p.idle) > 0 {
 		p.drop(p.idle[0])
 	}
-	if len(p.conns) >= p.most {
-		p.queue = append(p.queue, c)
-		return
-	}
-	p.open(c)
+	p.queue = append(p.queue, c)
+	p.fill()
 }
 
-func (p *Pool) open(c *call) {
-	k := &conn{p: p, call: c, carried: map[string]struct{}{}}
-	c.on, p.conns[k] = k, struct{}{}
-	p.dial(k)
+// fill opens connections for the calls that wait, as far as there is place.
+func (p *Pool) fill() {
+	for len(p.queue) > 0 && len(p.conns) < p.most {
+		k := &conn{p: p, call: p.queue[0], carried: map[string]struct{}{}}
+		k.call.on, p.conns[k], p.queue = k, struct{}{}, p.queue[1:]
+		p.dial(k)
+	}
 }
 
 func (k *conn) had(rid string) bool {
@@ -184,11 +184,7 @@
 	if k.wire != nil {
 		k.wire.Close()
 	}
-	if len(p.queue) > 0 {
-		c := p.queue[0]
-		p.queue = p.queue[1:]
-		p.open(c)
-	}
+	p.fill()
 }
 
 // GiveUp ends a call without a reply; closing its connection gives it up below too.
@@ -230,17 +226,17 @@
 
 // Move leaves all connections, as the address has changed: calls that are out may still come back on theirs.
 func (p *Pool) Move() {
-	for k := range p.conns {
-		switch delete(p.conns, k); {
-		case k.wire == nil && k.call != nil: // on its way to the old address
-			c := k.call
+	old := p.conns
+	p.conns, p.idle = map[*conn]struct{}{}, nil
+	for k := range old {
+		if k.wire == nil && k.call != nil { // on its way to the old address
+			p.queue = append(p.queue, k.call)
 			k.call = nil
-			p.open(c)
-		case k.call == nil && k.wire != nil:
+		} else if k.wire != nil && k.call == nil {
 			k.wire.Close()
 		}
 	}
-	p.idle = nil
+	p.fill()
 }
 
 // Opened writes the call that it was opened for, or one that waits.
--- a/internal/index/index_test.go
+++ b/internal/index/index_test.go
@@ -20,7 +20,7 @@
 	s.got = append(s.got, fmt.Sprintf("%s %d %s", rid, o, reply))
 }
 
-// pool is one whose connections stand as soon as they are dialled, unless told otherwise.
+// pool is one that notes what it dials; stand lets it stand.
 func pool(most int) (p *Pool, s *sink, dialled *[]*conn) {
 	s, dialled = &sink{}, &[]*conn{}
 	return NewPool(s, func(to loop.Peer) { *dialled = append(*dialled, to.(*conn)) }, most, zap.NewNop()), s, dialled
@@ -156,6 +156,24 @@
 	}
 }
 
+func TestNewAddressIsDialledOnceForEachCallThatWaits(t *testing.T) {
+	p, _, dialled := pool(4)
+	for _, rid := range []string{"a", "b", "c", "d", "e"} { // four on their way, e waits for a place
+		p.Call(rid, time.Second, nil)
+	}
+	p.Move()
+	if len(*dialled) != 8 || len(p.conns) != 4 || len(p.queue) != 1 {
+		t.Errorf("%d dialled, %d connections, %d wait", len(*dialled), len(p.conns), len(p.queue))
+	}
+	for _, k := range (*dialled)[4:] {
+		k.Opened(&aid.Wire{})
+	}
+	p.Move() // all out on the old address: e need not wait for them
+	if len(*dialled) != 9 || len(p.queue) != 0 {
+		t.Errorf("%d dialled, %d wait", len(*dialled), len(p.queue))
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	for _, seed := range []string{"a HIT 1\r\nx\r\n", "a SHED\r\n", "a HIT 99999999999\r\n", "\r\n", "a HIT 1\r\nxyz", "a HIT -1\r\n"} {
 		f.Add([]byte(seed))
