--- a/cmd/thymechute/main_test.go
+++ b/cmd/thymechute/main_test.go
@@ -317,7 +317,7 @@
 	if _, closed := s.Read(); !closed {
 		t.Error("the connection stays open after an endless line")
 	}
-	w.Runtime.Send(`{"verb":"end","index":2,"task":"cc01","outcome":"good","spent":5,"bytes":%q}`+"\n", "AA==")
+	w.Runtime.End(2, "cc01", "good", "\x00")
 	other.Wants(1, 0, "\x00")
 	other.Ask(2, "trace", "aa06", body, `,"unheard":{"of":[1,"\u00e9"]}`)
 	w.Runtime.Until("start", "aa06")
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,11 +32,11 @@
 	leastPause, leastLimit, idleTry = 0.05, 0.5, 0.01 // advice, seconds; threshold; chance on an idle server
 	jamFrom, jamFull, jamTold       = 0.15, 0.5, 0.5  // unread waits in due times: begins, full; logged from
 	jamCut, jamFade                 = 0.5, 0.9        // of those that run, in a full jam; wait left a Tick
-	again, crowdPart                = 0.25, 0.75      // payoff of a marked repeat, late as it is; share used of the survived crowd
-	leastFit, fill                  = 0.8, 0.95       // of its run that must fit before the due time; of memory that is used
+	again, crowdPart                = 0.25, 0.75      // payoff of a marked repeat; part used of the crowd
+	leastFit, fill                  = 0.8, 0.95       // of its run that must fit; of memory that is used
 	failures, trialGap              = 5, 500 * ms     // calls failed in a row before they stop; between trials
-	callSlow, standPart             = 0.1, 0.15       // of a due time: calls over it are slow; stood for one that can be left out
-	leastCalls, savedCalls          = 0.05, 0.1       // of the share of calls: used however slow they are; may be saved up
+	callSlow, standPart             = 0.1, 0.15       // of a due time: slow calls; longest optional stand
+	leastCalls, savedCalls          = 0.05, 0.1       // of the share of calls: least used; saved up
 	callsUp, callsDown, leastShare  = 0.1, 0.8, 0.001 // share of calls: grows by a period, is cut to; least told
 )
 
@@ -396,7 +396,7 @@
 	case calling:
 		i.callOver(now, true)
 	}
-	if !it.answered && it.state != joined && o != Moot { // what was never started, as the runtime knew none, has no lag
+	if !it.answered && it.state != joined && o != Moot { // what was never started has no lag
 		i.sample(now, it)
 		if o == OK {
 			i.done++
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -113,12 +113,12 @@
 }
 
 func TestReceiptOfWhatWasNeverStartedGoes(t *testing.T) {
-	for _, o := range []Outcome{Moot, Failed} {
+	for o, gone := range map[Outcome]int{Moot: 1, Failed: 0} {
 		i, b := fresh(nil)
 		i.Arrived(0, 0, of(1))
 		i.Settle(0)
 		i.Ended(0, 0, o, 0)
-		if b.Wants(t, map[Outcome]int{Moot: 1}[o], "forget 0"); len(i.receipts) != 1-map[Outcome]int{Moot: 1}[o] {
+		if b.Wants(t, gone, "forget 0"); len(i.receipts) != 1-gone {
 			t.Errorf("outcome %d leaves %d receipts", o, len(i.receipts))
 		}
 		if seen := i.count[0] > 0; seen != (o != Moot) { // nor may it steer lag
@@ -557,10 +557,7 @@
 func TestCallCutShortIsNoFailureNorTrial(t *testing.T) {
 	i, b := fresh(map[string]any{"calls_share": 9.0, "crowd": 20.0})
 	i.width, i.callTook, i.bands[0].base = 9, 0.2, 0.1
-	for w := range 3 {
-		i.Arrived(0, w, of(0))
-	}
-	i.Settle(0)
+	busy(i, 0, 1)
 	for w := range 3 {
 		i.AtCall(time.Duration(w)*ms, w)
 	}
@@ -583,10 +580,7 @@
 func TestNoCallIsIssuedThatWouldBeCut(t *testing.T) {
 	i, b := fresh(map[string]any{"calls_share": 9.0, "crowd": 20.0})
 	i.width, i.callTook = 9, 0.2
-	for w := range 2 {
-		i.Arrived(0, w, of(0))
-	}
-	i.Settle(0)
+	busy(i, 0, 0)
 	i.AtCall(800*ms, 0)
 	i.AtCall(800*ms, 1)
 	i.Settle(800 * ms)
