A key is built in one place, and the catalog's socket alone tells how far it is

Found on reading again, behaviour as before: node built a receipt's key at the door and again in the round, and looked the band's kind up by hand in both (now key and kind, once a work item, kept in it); catalog.Reporter kept a wire and a mark of dialling beside the socket that both follow from; rpc asked the clock for a message begun before it knew that none was. Opening paragraphs of catalog and config, and one of loop, are wrapped again.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,7 +1,7 @@
-// Package catalog reports to the catalog that this instance is here: datagrams of three words, no answer. An entry
-// lasts 3 s and any report may be lost, so that ten go out in that time.
-// The socket joins the loop. It must never wait for it, and nothing that goes wrong with it may reach further: a
-// broken socket is opened anew for the next report. It keeps no table.
+// Package catalog reports to the catalog that this instance is here: datagrams of three words, no answer. An
+// entry lasts 3 s and any report may be lost, so that ten go out in that time. The socket joins the loop. It must
+// never wait for it, and nothing that goes wrong with it may reach further: a broken socket is opened anew for the
+// next report. It keeps no table.
 package catalog
 
 import (
@@ -14,12 +14,10 @@
 
 // Reporter sends the reports.
 type Reporter struct {
-	name    string
-	dial    func(loop.Peer)
-	wire    loop.Wire
-	socket  *socket // the latest
-	dialing bool
-	next    time.Time
+	name   string
+	dial   func(loop.Peer)
+	socket *socket // none: the next report opens one
+	next   time.Time
 }
 
 // New makes a reporter; dial opens a socket for it.
@@ -30,11 +28,11 @@
 	if now.Before(r.next) {
 		return
 	}
-	if r.wire == nil {
-		if !r.dialing {
-			r.dialing, r.socket = true, &socket{r: r}
-			r.dial(r.socket)
-		}
+	if r.socket == nil {
+		r.socket = &socket{r: r}
+		r.dial(r.socket)
+	}
+	if r.socket.wire == nil {
 		return
 	}
 	r.next = now.Add(reportEvery)
@@ -42,29 +40,27 @@
 	if !good {
 		state = " critical"
 	}
-	r.wire.Write([]byte("alive " + r.name + state))
+	r.socket.wire.Write([]byte("alive " + r.name + state))
 }
 
 // Move reports to a new address from now on: the socket to the old one goes.
 func (r *Reporter) Move() {
-	if r.wire != nil {
-		r.wire.Close()
+	if r.socket != nil && r.socket.wire != nil {
+		r.socket.wire.Close()
 	}
-	r.wire, r.dialing, r.next, r.socket = nil, false, time.Time{}, nil
+	r.socket, r.next = nil, time.Time{}
 }
 
 // socket is one of the reporter's; one that was replaced is of no use.
 type socket struct {
 	r    *Reporter
-	wire loop.Wire
+	wire loop.Wire // none before it stands
 }
 
 func (s *socket) Opened(w loop.Wire) {
 	if s.wire = w; s.r.socket != s {
 		w.Close()
-		return
 	}
-	s.r.wire, s.r.dialing = w, false
 }
 
 // Read drops what comes: reports get no answer.
@@ -76,7 +72,7 @@
 	if r.socket != s {
 		return
 	}
-	if r.wire, r.dialing = nil, false; r.next.Before(time.Now()) {
+	if r.socket = nil; r.next.Before(time.Now()) {
 		r.next = time.Now().Add(reportEvery)
 	}
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -104,7 +104,8 @@
 	closing bool
 }
 
-// Run serves on the address, within the memory, until the host has ended. first is called once on the loop before anything else.
+// Run serves on the address, within the memory, until the host has ended. first is called once on the loop before
+// anything else.
 func Run(address string, host Host, memory int64, log *zap.Logger, first func(*Loop)) error {
 	// Who supervises the instance may keep its address bound between two lives, so it has to be shared.
 	shared := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -348,8 +348,8 @@
 	if _, ok := n.byRid[ask.Rid]; ok {
 		return ErrTwice
 	}
-	full := n.kept >= n.room && n.site.Told["band."+strconv.Itoa(band)+".kind"] == "receipted" &&
-		n.receipts[ask.Band+" "+ask.Receipt] == nil
+	key := n.key(band, ask)
+	full := n.kept >= n.room && n.kind(band) == "receipted" && n.receipts[key] == nil
 	if n.mod == nil || n.live*itemBytes >= n.room || full { // it never ran
 		var pause time.Duration
 		if n.site.Told["come_back"] != false {
@@ -364,25 +364,33 @@
 	} else {
 		n.items = append(n.items, item{})
 	}
-	n.items[w] = item{live: true, asker: asker, tag: tag, rid: ask.Rid, band: band, body: ask.Body}
+	n.items[w] = item{live: true, asker: asker, tag: tag, rid: ask.Rid, band: band, body: ask.Body, key: key}
 	n.byRid[ask.Rid] = w
 	n.live++
 	n.put(func() { n.arrive(w, customer, ask) })
 	return nil
 }
 
+// kind of a band, as the settings tell it.
+func (n *Instance) kind(band int) any { return n.site.Told["band."+strconv.Itoa(band)+".kind"] }
+
+// key under which a work item's receipt stands; empty: it has none.
+func (n *Instance) key(band int, ask Ask) string {
+	switch kind := n.kind(band); {
+	case kind == "receipted" && ask.Receipt != "":
+		return ask.Band + " " + ask.Receipt
+	case kind == "pure" && ask.Subject != "" && n.span("fresh_s") > 0:
+		return ask.Band + " " + ask.Subject
+	}
+	return ""
+}
+
 func (n *Instance) arrive(w, customer int, ask Ask) {
 	it := &n.items[w]
-	at := "band." + strconv.Itoa(it.band) + "."
-	kind := n.site.Told[at+"kind"]
+	kind := n.kind(it.band)
 	work := policy.Work{Band: it.band, Customer: customer, From: ask.From, Repeat: ask.Again, Rank: ask.Rank,
 		KB: ask.KB, Subject: ask.Subject != "", Forerunner: policy.NoForerunner}
 	work.Waited = min(max(time.Since(ask.Came), 0), longestWait)
-	if kind == "receipted" && ask.Receipt != "" {
-		it.key = ask.Band + " " + ask.Receipt
-	} else if kind == "pure" && ask.Subject != "" && n.span("fresh_s") > 0 {
-		it.key = ask.Band + " " + ask.Subject
-	}
 	n.lastRead = n.now
 	if r := n.receipts[it.key]; it.key != "" && r != nil && n.now-work.Waited <= r.end {
 		if kind == "receipted" && r.body != n.digest(ask.Body) { // not the same request: it must not get that one's result
@@ -391,7 +399,7 @@
 			return
 		}
 		work.Forerunner = r.w
-	} else if kind == "receipted" && ask.Again && n.before && n.now-work.Waited < n.first+n.span(at+"window_s") {
+	} else if kind == "receipted" && ask.Again && n.before && n.now-work.Waited < n.first+n.span("band."+strconv.Itoa(it.band)+".window_s") {
 		// The life before this one may have run an earlier try, and nothing of it is known here.
 		work.Forerunner = policy.GoneForerunner
 	}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -368,9 +368,9 @@
 
 // Read takes what came. A fault is answered under its id; without one, or with too many, the connection ends.
 func (l *line) Read(p []byte) error {
-	whole := 0
+	whole := false
 	err := l.in.Feed(p, func(text []byte) error {
-		whole++
+		whole = true
 		q, err := Decode(text)
 		if err == nil {
 			err = l.take(q)
@@ -389,11 +389,10 @@
 		}
 		return nil
 	})
-	if whole > 0 || l.began.IsZero() {
-		l.began = time.Now()
-	}
 	if !l.in.Partial() {
 		l.began = time.Time{}
+	} else if whole || l.began.IsZero() {
+		l.began = time.Now()
 	}
 	return err
 }
