Sub-commands, the operator's XML file with its schema, and several fronts behind one door

Change: cobra carries serve, check and version; without arguments the program serves by a path that does not build the command line. internal/xsd reads the part of XML Schema that deploy/thymechute.xsd uses and refuses any other, since the registry serves no pure Go validator; internal/operator binds it, and a test holds schema and structures against each other. The node keeps a set of fronts, waits for what one still owes, and takes patience and 'may have run elsewhere' with an ask.

--- a/cmd/thymechute/main_test.go
+++ b/cmd/thymechute/main_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -408,3 +410,34 @@
 		t.Errorf("exit code %d, %q", code, p.Log())
 	}
 }
+
+func TestCommandLine(t *testing.T) {
+	good := "../../deploy/thymechute.xml"
+	bad := filepath.Join(t.TempDir(), "bad.xml")
+	if err := os.WriteFile(bad, []byte("<thymechute xmlns=\"urn:thymechute:operator:1\">\n<amqp/></thymechute>"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args string
+		code int
+		says string
+	}{
+		{"version", 0, "thymechute "},
+		{"check --settings " + good, 0, "ok\n"},
+		{"check --settings " + bad, 2, bad + ": line 2, amqp: found element broker 0 times, expected at least 1\n"},
+		{"check --settings /no/such", 2, "settings: found open /no/such"},
+		{"check", 2, "found nothing, expected --settings or GW_CONFIG"},
+		{"serve --settings " + bad, 2, "GW_CONFIG: found nothing"},
+		{"sevre", 2, `found "sevre"`},
+		{"--setings x", 2, "unknown flag"},
+	} {
+		out, err := exec.Command(aid.Built(t), strings.Fields(c.args)...).CombinedOutput()
+		code := 0
+		if e, ok := err.(*exec.ExitError); ok {
+			code = e.ExitCode()
+		}
+		if code != c.code || !strings.Contains(string(out), c.says) || code == 2 && strings.Count(string(out), "\n") != 1 {
+			t.Errorf("%s: exit code %d, %q", c.args, code, out)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/thymechute/serve.go
@@ -0,0 +1,97 @@
+// One instance: this file owns Go's limits, the signals, and the wiring of the parts. It must never hold anything
+// that one of the parts could.
+
+package main
+
+import (
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"thymechute/internal/catalog"
+	"thymechute/internal/config"
+	"thymechute/internal/index"
+	"thymechute/internal/loop"
+	"thymechute/internal/node"
+	"thymechute/internal/operator"
+	"thymechute/internal/rpc"
+	link "thymechute/internal/runtime"
+)
+
+const (
+	own        = 32  // descriptors for the links, Go's own and those on their way; of the rest
+	callPart   = 8   // an eighth goes to calls, three quarters to the stubs
+	memoryPart = 0.7 // of the memory limit, for Go; the rest is the kernel's and the code's
+	moreHeap   = 100 // percent of growth between two collections, under that limit
+	dialFor    = time.Second
+)
+
+// host puts the instance and its front before the loop.
+type host struct {
+	*rpc.Front
+	*node.Instance
+}
+
+// serve runs one instance until its end.
+func serve(g config.Given, o *operator.File, signals <-chan os.Signal) error {
+	runtime.GOMAXPROCS(max(int(math.Ceil(g.Cores)), 1))
+	debug.SetMemoryLimit(int64(float64(g.Memory) * memoryPart))
+	debug.SetGCPercent(moreHeap)
+	sockets := g.Sockets
+	var rl syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &rl) == nil && rl.Cur < uint64(sockets) {
+		sockets = int(rl.Cur)
+	}
+	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more must not end the instance
+	out := newLines(os.Stderr)
+	defer out.close()
+	log := newLog(g.Name, out)
+
+	inst := node.New(g.Site, g.Seed, g.Stop, g.Memory, log)
+	front := rpc.NewFront(inst, (sockets-own)*3/4, log)
+	return loop.Run(g.Listen, host{front, inst}, g.Memory, log, func(l *loop.Loop) {
+		dial := func(network string, address *string) func(loop.Peer) { // the address may change
+			return func(p loop.Peer) { l.Dial(network, *address, dialFor, p) }
+		}
+		after := func(wait time.Duration, f func()) { time.AfterFunc(wait, func() { l.Do(f) }) }
+		cores := link.NewLink(inst, dial("tcp", &g.Runtime), after, g.Seed, log)
+		calls := index.NewPool(inst, dial("tcp", &g.Index), (sockets-own)/callPart, log)
+		reports := catalog.New(g.Name, dial("udp", &g.Catalog))
+		inst.Connect(cores, calls, reports, front)
+		cores.Open()
+		go func() {
+			for s := range signals {
+				if s != syscall.SIGHUP {
+					l.Do(inst.Leave)
+					continue
+				}
+				later, err := config.Load(os.Getenv)
+				if err != nil {
+					log.Error("configuration not taken, the old one stays", zap.Error(err))
+					continue
+				}
+				l.Do(func() {
+					log.Info("configuration read again", zap.String("runtime", later.Runtime), zap.String("index", later.Index),
+						zap.String("directory", later.Catalog), zap.Strings("not changed while running", g.Fixed(later)))
+					move(&g.Runtime, later.Runtime, cores.Open)
+					move(&g.Index, later.Index, calls.Move)
+					move(&g.Catalog, later.Catalog, reports.Move)
+				})
+			}
+		}()
+	})
+}
+
+// move goes to another address.
+func move(address *string, later string, moved func()) {
+	if *address != later {
+		*address = later
+		moved()
+	}
+}
--- a/internal/aid/aid.go
+++ b/internal/aid/aid.go
@@ -215,14 +215,8 @@
 	err  error
 }
 
-// Start builds the program once and starts it with this configuration.
-func Start(t *testing.T, given map[string]any) *Program {
-	t.Helper()
-	return StartWith(t, given, nil)
-}
-
-// StartWith logs to the file instead of into the Program's memory.
-func StartWith(t *testing.T, given map[string]any, log *os.File) *Program {
+// Built is the path of the program, which is built once.
+func Built(t *testing.T) string {
 	t.Helper()
 	built.once.Do(func() {
 		dir, err := os.MkdirTemp("", "thymechute")
@@ -239,7 +233,19 @@
 	if built.err != nil {
 		t.Fatal(built.err)
 	}
-	p := &Program{t: t, Cmd: exec.Command(built.path), Exited: make(chan int, 1), file: filepath.Join(t.TempDir(), "config.json")}
+	return built.path
+}
+
+// Start builds the program once and starts it with this configuration.
+func Start(t *testing.T, given map[string]any) *Program {
+	t.Helper()
+	return StartWith(t, given, nil)
+}
+
+// StartWith logs to the file instead of into the Program's memory.
+func StartWith(t *testing.T, given map[string]any, log *os.File) *Program {
+	t.Helper()
+	p := &Program{t: t, Cmd: exec.Command(Built(t)), Exited: make(chan int, 1), file: filepath.Join(t.TempDir(), "config.json")}
 	text, err := json.Marshal(given)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,9 +50,11 @@
 // Ask is a work item as a protocol hands it in.
 type Ask struct {
 	Rid, Band, Customer, Receipt, Subject string
-	Came                                  time.Time // to this machine
+	Came                                  time.Time     // to this machine
+	Patience                              time.Duration // what its caller still waits from then on; 0: not told
 	From                                  int
 	Again                                 bool
+	Elsewhere                             bool // an earlier try may have run where nothing of it is known here
 	KB, Rank                              float64
 	Body                                  []byte
 }
@@ -67,9 +69,20 @@
 	Scrapped
 )
 
+// Why is the cause of an answer where the instance itself, not the module, knows it.
+type Why int
+
+// The causes.
+const (
+	Unsaid     Why = iota
+	Conflict       // another request stands under the same key
+	MayHaveRun     // an earlier try may have run, and nothing of it is known here
+)
+
 // Answer is final.
 type Answer struct {
 	Kind     Kind
+	Why      Why
 	Result   []byte
 	ComeBack time.Duration
 	No       bool    // no other server helps
@@ -100,11 +113,19 @@
 	Sweep(now time.Time) time.Time // ends what is over its time; when to come again
 }
 
-// Front is what a protocol's connections are told.
+// Front is what a protocol's connections are told. Several stand behind the one door.
 type Front interface {
 	Idle(after time.Duration)
 	Leave()
 	Sweep(now time.Time)
+	Owes() bool // answers that are given and not yet delivered; a leaving server waits for them, up to the kill
+}
+
+// Load is how much of the instance is taken, for a front that may leave work where it is.
+type Load struct {
+	Up          bool // the module is at work and the runtime's link stands
+	Leaving     bool
+	Items, Room int // work items here, and how many may be
 }
 
 // Reports go to the catalog.
@@ -128,6 +149,7 @@
 	stopped   bool
 	calling   bool
 	answered  bool
+	why       Why // it is scrapped, if it is
 }
 
 // receipt is what is known of a key. It stands until its end, whether or not its try is still here.
@@ -153,7 +175,7 @@
 	clients map[string]int
 	runtime Runtime
 	below   Below
-	front   Front
+	fronts  []Front
 	reports Reports
 
 	mod      *policy.Instance // none before the runtime was up once
@@ -205,8 +227,13 @@
 }
 
 // Connect joins the instance to its sides.
-func (n *Instance) Connect(r Runtime, b Below, f Front, c Reports) {
-	n.runtime, n.below, n.front, n.reports = r, b, f, c
+func (n *Instance) Connect(r Runtime, b Below, c Reports, fronts ...Front) {
+	n.runtime, n.below, n.reports, n.fronts = r, b, c, fronts
+}
+
+// Load tells how much is taken now.
+func (n *Instance) Load() Load {
+	return Load{n.mod != nil && n.runtime.Up(), n.leaving, n.live, n.room / itemBytes}
 }
 
 func (n *Instance) put(f func()) { n.inbox = append(n.inbox, f) }
@@ -225,7 +252,7 @@
 	}
 	if n.mod == nil {
 		n.reports.Sweep(clock, false)
-		n.front.Sweep(clock)
+		n.sweepFronts(clock)
 		if n.leaving {
 			return clock, loop.Ended
 		}
@@ -251,13 +278,19 @@
 		n.sweep()
 	}
 	n.reports.Sweep(clock, n.good && !n.leaving)
-	n.front.Sweep(clock)
+	n.sweepFronts(clock)
 	if at := n.start.Add(at); next.IsZero() || at.Before(next) {
 		next = at
 	}
 	return next, n.phase()
 }
 
+func (n *Instance) sweepFronts(now time.Time) {
+	for _, f := range n.fronts {
+		f.Sweep(now)
+	}
+}
+
 func (n *Instance) tick() {
 	g := n.gauges
 	if n.now-n.gaugesAt > oldGauges {
@@ -289,7 +322,8 @@
 	if !n.leaving {
 		return loop.Serving
 	}
-	owes := slices.ContainsFunc(n.items, func(it item) bool { return it.live && !it.answered && it.asker != nil })
+	owes := slices.ContainsFunc(n.items, func(it item) bool { return it.live && !it.answered && it.asker != nil }) ||
+		slices.ContainsFunc(n.fronts, Front.Owes)
 	if n.closedAt == 0 && (n.now >= n.killAt-closeBefore || n.now >= n.graceEnd && n.now-n.lastRead > quietBefore && !owes) {
 		n.closedAt = n.now
 	}
@@ -329,7 +363,9 @@
 		if n.mod != nil {
 			n.mod.Leave(n.now, n.stop)
 		}
-		n.front.Leave()
+		for _, f := range n.fronts {
+			f.Leave()
+		}
 	})
 }
 
@@ -391,17 +427,23 @@
 	work := policy.Work{Band: it.band, Customer: customer, From: ask.From, Repeat: ask.Again, Rank: ask.Rank,
 		KB: ask.KB, Subject: ask.Subject != "", Forerunner: policy.NoForerunner}
 	work.Waited = min(max(time.Since(ask.Came), 0), longestWait)
+	if ask.Patience > 0 { // what is past is the module's to end, and no patience at all would mean that none is told
+		work.Patience = max(ask.Patience-work.Waited, 1)
+	}
 	n.lastRead = n.now
 	if r := n.receipts[it.key]; it.key != "" && r != nil && n.now-work.Waited <= r.end {
 		if kind == "receipted" && r.body != n.digest(ask.Body) { // not the same request: it must not get that one's result
+			it.why = Conflict
 			n.answer(w, Answer{Kind: Scrapped})
 			n.Release(w)
 			return
 		}
 		work.Forerunner = r.w
+	} else if ask.Elsewhere && kind != "pure" {
+		work.Forerunner, it.why = policy.GoneForerunner, MayHaveRun
 	} else if kind == "receipted" && ask.Again && n.before && n.now-work.Waited < n.first+n.span("band."+strconv.Itoa(it.band)+".window_s") {
 		// The life before this one may have run an earlier try, and nothing of it is known here.
-		work.Forerunner = policy.GoneForerunner
+		work.Forerunner, it.why = policy.GoneForerunner, MayHaveRun
 	}
 	n.mod.Arrived(n.now, w, work)
 }
@@ -616,7 +658,9 @@
 	}
 	it.answered = true
 	if it.asker != nil {
-		a.Free = n.free
+		if a.Free = n.free; a.Kind == Scrapped {
+			a.Why = it.why
+		}
 		it.asker.Answer(it.tag, a)
 	}
 }
@@ -712,7 +756,11 @@
 func (n *Instance) Health(good, stored bool) { n.good, n.stored = good, stored }
 
 // Idle closes connections idle for so long.
-func (n *Instance) Idle(after time.Duration) { n.front.Idle(after) }
+func (n *Instance) Idle(after time.Duration) {
+	for _, f := range n.fronts {
+		f.Idle(after)
+	}
+}
 
 // Free is the value that rides on all answers.
 func (n *Instance) Free(value float64) { n.free = value }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -17,6 +17,7 @@
 // sides is all that an instance talks to, written down.
 type sides struct {
 	down  bool
+	owes  bool
 	lines []string
 }
 
@@ -52,6 +53,7 @@
 type front struct{ *sides }
 
 func (front) Sweep(time.Time) {}
+func (f front) Owes() bool    { return f.owes }
 
 type reports struct{}
 
@@ -61,7 +63,7 @@
 func up(more map[string]any) (*Instance, *sides) {
 	s := &sides{}
 	n := New(told.Site{Told: aid.Told(more), Bands: []string{"pure", "receipted", "effectful"}}, 7, 3*time.Second, 192<<20, zap.NewNop())
-	n.Connect(s, s, front{s}, reports{})
+	n.Connect(s, s, reports{}, front{s}, front{s})
 	n.Ready(false, 0, time.Now())
 	n.Round()
 	return n, s
@@ -253,6 +255,61 @@
 	s.wants(t, 1, "start a")
 }
 
+// Every front hears of the end, and an answer that one still has to deliver is waited for, up to the kill.
+func TestLeaveReachesAllFrontsAndWaitsForWhatTheyOwe(t *testing.T) {
+	n, s := up(nil)
+	s.owes = true
+	n.Leave()
+	n.Round()
+	s.wants(t, 2, "leave")
+	n.now, n.lastRead = n.graceEnd+time.Second, n.graceEnd
+	if n.phase() != loop.Serving {
+		t.Error("the door closes though a front owes answers")
+	}
+	if s.owes = false; n.phase() != loop.Closing {
+		t.Error("the door stays open though nothing is owed")
+	}
+	s.owes, n.now = true, n.killAt-lastCall/2
+	if n.phase() != loop.Ended {
+		t.Error("a front that owes for good outlasts the kill")
+	}
+}
+
+// A message that a broker hands out again may have run at another instance, or here before a cold start.
+func TestWhatMayHaveRunElsewhereIsNotRunUnlessItsKeyIsKnown(t *testing.T) {
+	n, s := up(nil)
+	again := func(rid, band, receipt string) {
+		if err := n.Arrive(s, rid, Ask{Rid: rid, Band: band, Receipt: receipt, KB: 1, Elsewhere: true, Came: time.Now(), Body: []byte("x")}); err != nil {
+			t.Fatal(err)
+		}
+		n.Round()
+	}
+	again("a", "receipted", "key")
+	again("b", "effectful", "")
+	s.wants(t, 1, "answer a 2")
+	s.wants(t, 1, "answer b 2")
+	s.wants(t, 0, "start")
+	again("c", "pure", "")
+	s.wants(t, 1, "start c")
+	n.ask(s, "d", "receipted", "key", 0)
+	n.End("d", policy.OK, 0, []byte("kept"))
+	n.Round()
+	again("e", "receipted", "key")
+	s.wants(t, 1, "answer e 0 kept")
+}
+
+func TestPatienceThatIsOverIsNotTakenForNone(t *testing.T) {
+	n, s := up(nil)
+	for rid, patience := range map[string]time.Duration{"a": time.Millisecond, "b": time.Minute} {
+		if err := n.Arrive(s, rid, Ask{Rid: rid, Band: "pure", KB: 1, Came: time.Now().Add(-10 * time.Millisecond), Patience: patience}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	n.Round()
+	s.wants(t, 1, "answer a 1")
+	s.wants(t, 1, "start b")
+}
+
 func TestDoorClosesBeforeTheEnd(t *testing.T) {
 	n, s := up(nil)
 	n.ask(s, "a", "effectful", "", 0)
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,116 @@
+package operator
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"thymechute/deploy"
+	"thymechute/internal/xsd"
+)
+
+const head, tail = `<thymechute xmlns="urn:thymechute:operator:1">` + "\n", "\n</thymechute>"
+
+// The schema and the structures name the same things, of the same kinds: neither can drift.
+func TestSchemaAndStructuresAgree(t *testing.T) {
+	type entry struct {
+		many bool
+		kind string
+	}
+	told, held := map[string]entry{}, map[string]entry{}
+	schema, err := xsd.Parse(deploy.Schema)
+	if err != nil {
+		t.Fatal(err)
+	}
+	schema.Walk(func(path string, many bool, kind xsd.Kind) { told[path] = entry{many, string(kind)} })
+	kinds := map[reflect.Kind]xsd.Kind{reflect.String: xsd.Text, reflect.Int: xsd.Whole, reflect.Float64: xsd.Decimal, reflect.Bool: xsd.Flag}
+	var walk func(at string, of reflect.Type)
+	walk = func(at string, of reflect.Type) {
+		for i := range of.NumField() {
+			f := of.Field(i)
+			name, attr := tag(f)
+			switch {
+			case name == "-":
+			case attr:
+				held[at+"@"+name] = entry{false, string(kinds[f.Type.Kind()])}
+			default:
+				held[at+"/"+name] = entry{f.Type.Kind() == reflect.Slice, ""}
+				walk(at+"/"+name, f.Type.Elem())
+			}
+		}
+	}
+	walk("thymechute", reflect.TypeFor[File]())
+	for path, e := range told {
+		if held[path] != e {
+			t.Errorf("%s: the schema says %v, the program %v", path, e, held[path])
+		}
+	}
+	for path := range held {
+		if _, ok := told[path]; !ok {
+			t.Errorf("%s: not in the schema", path)
+		}
+	}
+}
+
+func TestExampleIsRead(t *testing.T) {
+	f, err := Load("../../deploy/thymechute.xml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := f.AMQP
+	if a.HeartbeatS != 10 || a.MostCredit != 256 || a.Fields.Band != "type" || a.Queues[0].DeadLetterKey != "readings" ||
+		a.Queues[0].Redelivered != "dead-letter" || a.User != "guest" || a.Login.Vhost != "/" {
+		t.Errorf("%+v", a)
+	}
+}
+
+func TestAbsentIsOff(t *testing.T) {
+	if f, err := Read([]byte(head + tail)); err != nil || f.AMQP != nil {
+		t.Errorf("%+v, %v", f, err)
+	}
+}
+
+// Every fault is one line that names the line, the element, what was found and what is expected.
+func TestFaults(t *testing.T) {
+	login := filepath.Join(t.TempDir(), "login")
+	if err := os.WriteFile(login, []byte("very secret words"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	broker, queue := `<broker address="127.0.0.1:5672"/>`, `<queue name="q" dead-letter="d"/>`
+	for text, want := range map[string]string{
+		`<amqp>` + broker + `</amqp>`:                                                      "line 2, amqp: found element queue 0 times",
+		`<amqp>` + queue + broker + `</amqp>`:                                              "line 2, amqp: found element broker, expected in this order",
+		`<amqp heartbeat-s="0">` + broker + queue + `</amqp>`:                              `line 2, amqp: found heartbeat-s="0", expected a whole number from 1 to 600`,
+		`<amqp heartbeat-s="1e1">` + broker + queue + `</amqp>`:                            `found heartbeat-s="1e1"`,
+		`<amqp heart="1">` + broker + queue + `</amqp>`:                                    "found attribute heart, expected one of:",
+		`<amqp><broker/>` + queue + `</amqp>`:                                              "line 2, broker: found no address",
+		"<amqp>\n<broker address=\"nowhere\"/>" + queue + `</amqp>`:                        `line 3, broker: found address="nowhere"`,
+		`<amqp>` + broker + `<queue name="q"/></amqp>`:                                     "found no dead-letter",
+		`<amqp>` + broker + queue + queue + `</amqp>`:                                      "found a second q",
+		`<amqp least-credit="9" most-credit="8">` + broker + queue + `</amqp>`:             "found least-credit=9, expected at most most-credit=8",
+		`<amqp>` + broker + queue + `</amqp><amqp>` + broker + queue + `</amqp>`:           "found element amqp the 2th time",
+		`<amqp>` + broker + `<login file="/no/such"/>` + queue + `</amqp>`:                 "line 2, login: found open /no/such",
+		`<amqp>` + broker + `<login file="` + login + `"/>` + queue + `</amqp>`:            "expected one line, user:password",
+		`<amqp>` + broker + `<tls ca="` + login + `"/>` + queue + `</amqp>`:                "line 2, tls: found no certificate",
+		`<amqp>` + broker + queue + `<fields band="colour"/></amqp>`:                       `line 2, fields: found band="colour"`,
+		`<amqp>` + broker + `<queue name="q" dead-letter="d" redelivered="maybe"/></amqp>`: "expected one of dead-letter, run",
+		`<amqp>words` + broker + queue + `</amqp>`:                                         `found text "words"`,
+		`<queue xmlns="urn:other"/>`:                                                       "found element queue",
+		`<amqp>`:                                                                           "expected well-formed XML",
+		`<!DOCTYPE x [<!ENTITY e "e">]>`:                                                   "found a declaration",
+		`<amqp>` + broker + `<queue name="&e;" dead-letter="d"/></amqp>`:                   "expected well-formed XML",
+		`<amqp>` + broker + `<queue name="q" dead-letter="d"><argument name="x" type="integer" value="many"/></queue></amqp>`: "found value many",
+	} {
+		_, err := Read([]byte(head + text + tail))
+		var f *xsd.Fault
+		if !errors.As(err, &f) || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s:\n%v, want %q", text, err, want)
+		}
+		if err != nil && strings.Contains(err.Error(), "secret") {
+			t.Errorf("a credential is told: %v", err)
+		}
+	}
+}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -310,6 +310,9 @@
 	}
 }
 
+// Owes: what is written leaves with the round.
+func (f *Front) Owes() bool { return false }
+
 // Sweep closes what is idle.
 func (f *Front) Sweep(now time.Time) {
 	if now.Before(f.next) {
