Stand-in broker: AMQP 0-9-1 by a codec of its own, with scripted faults

Need: the consumer must be tried against a broker that loses acks, cuts, redelivers and lies, and none may be installed.

Change: internal/stand/broker reads and writes the protocol from its specification, strict and bounded; queues outlast its own restart; each fault is committed at a counted event, so the same doings meet the same faults. Its tests use the client library as peer, another reading of the same specification.

--- /dev/null
+++ b/internal/stand/broker/broker_test.go
@@ -0,0 +1,307 @@
+package broker
+
+import (
+	"bytes"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	amqp "github.com/rabbitmq/amqp091-go"
+)
+
+// The peer in these tests is the client library: another reading of the specification than this package's.
+type peer struct {
+	t    *testing.T
+	b    *Broker
+	conn *amqp.Connection
+	ch   *amqp.Channel
+	in   <-chan amqp.Delivery
+}
+
+func start(t *testing.T, faults ...Fault) (*Broker, func() *peer) {
+	t.Helper()
+	b, err := New(faults...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address, err := b.Start("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	for _, q := range []string{"dead", "q"} {
+		if err := b.Declare(q, Table{"x-dead-letter-exchange": "dlx", "x-queue-type": "quorum"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := b.Exchange("dlx", "fanout"); err != nil || b.Bind("dead", "dlx", "") != nil {
+		t.Fatal("no dead-letter exchange")
+	}
+	return b, func() *peer {
+		conn, err := amqp.Dial("amqp://guest:guest@" + address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		ch, err := conn.Channel()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return &peer{t, b, conn, ch, nil}
+	}
+}
+
+func (p *peer) consume(credit int) {
+	p.t.Helper()
+	err := p.ch.Qos(credit, 0, false)
+	if err == nil {
+		p.in, err = p.ch.Consume("q", "", false, false, false, false, nil)
+	}
+	if err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func (p *peer) next() amqp.Delivery {
+	p.t.Helper()
+	select {
+	case d, ok := <-p.in:
+		if ok {
+			return d
+		}
+	case <-time.After(20 * time.Second):
+	}
+	p.t.Fatal("no delivery")
+	return amqp.Delivery{}
+}
+
+func (b *Broker) settles(t *testing.T, name string, ready, out int) {
+	t.Helper()
+	if !b.Wait(name, func(s State) bool { return s.Ready == ready && s.Out == out }) {
+		t.Errorf("%s: %+v, want %d ready, %d out", name, b.State(name), ready, out)
+	}
+}
+
+func TestMessageOfSeveralFramesComesAsItWent(t *testing.T) {
+	b, dial := start(t)
+	p := dial()
+	body := bytes.Repeat([]byte("0123456789abcdef"), 1000)
+	if err := p.ch.Confirm(false); err != nil {
+		t.Fatal(err)
+	}
+	sent := amqp.Publishing{Type: "trace", MessageId: "m", Expiration: "100", Priority: 3, Timestamp: time.Unix(1700000000, 0),
+		Headers: amqp.Table{"customer": "acme", "rank": 0.5, "list": []any{int32(1), "x"}}, Body: body}
+	done, err := p.ch.PublishWithDeferredConfirm("", "q", true, false, sent)
+	if err != nil || !done.Wait() {
+		t.Fatal(err, "not confirmed")
+	}
+	p.consume(1)
+	d := p.next()
+	if !bytes.Equal(d.Body, body) || d.Type != "trace" || d.MessageId != "m" || d.Expiration != "100" || d.Priority != 3 ||
+		d.Timestamp.Unix() != 1700000000 || d.Headers["rank"] != 0.5 || d.Redelivered {
+		t.Errorf("%+v", d)
+	}
+	if err := d.Ack(false); err != nil {
+		t.Fatal(err)
+	}
+	b.settles(t, "q", 0, 0)
+}
+
+func TestEveryWayToSettle(t *testing.T) {
+	b, dial := start(t)
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		b.Publish("", "q", Props{MessageID: id}, []byte(id))
+	}
+	p := dial()
+	p.consume(3)
+	a, second, c := p.next(), p.next(), p.next()
+	b.settles(t, "q", 2, 3) // no more than the credit
+	_ = second.Ack(true)    // a as well
+	d, e := p.next(), p.next()
+	_ = c.Reject(true)
+	if back := p.next(); back.MessageId != "c" || !back.Redelivered || back.Headers["x-delivery-count"] != int64(1) {
+		t.Errorf("%+v", back)
+	}
+	_ = d.Reject(false)
+	b.settles(t, "dead", 1, 0)
+	p.conn.Close()
+	b.settles(t, "q", 2, 0) // c and e are given back
+	p = dial()
+	p.consume(0)
+	if c, again := p.next(), p.next(); c.MessageId != "c" || again.MessageId != "e" || !again.Redelivered {
+		t.Errorf("%s, %s", c.MessageId, again.MessageId)
+	}
+	_, _ = a, e
+	closed := p.ch.NotifyClose(make(chan *amqp.Error, 1))
+	_ = p.ch.Ack(77, false)
+	if err := <-closed; err == nil || err.Code != 406 {
+		t.Errorf("an unknown tag: %v", err)
+	}
+	b.settles(t, "q", 2, 0)
+}
+
+func TestWhatReachesNoQueueComesBackAndMissingNamesCloseTheChannel(t *testing.T) {
+	_, dial := start(t)
+	p := dial()
+	_ = p.ch.Confirm(false)
+	back := p.ch.NotifyReturn(make(chan amqp.Return, 1))
+	done, _ := p.ch.PublishWithDeferredConfirm("", "nowhere", true, false, amqp.Publishing{MessageId: "m", Body: []byte("x")})
+	if r := <-back; r.MessageId != "m" || r.ReplyCode != 312 || !done.Wait() {
+		t.Errorf("%+v", r)
+	}
+	closed := p.ch.NotifyClose(make(chan *amqp.Error, 1))
+	_, _ = p.ch.PublishWithDeferredConfirm("nowhere", "", true, false, amqp.Publishing{})
+	if err := <-closed; err == nil || err.Code != 404 {
+		t.Errorf("%v", err)
+	}
+}
+
+func TestOnlyOneActiveConsumer(t *testing.T) {
+	b, dial := start(t)
+	if err := b.Declare("single", Table{"x-single-active-consumer": true}); err != nil {
+		t.Fatal(err)
+	}
+	one, two := dial(), dial()
+	one.in, _ = one.ch.Consume("single", "", false, false, false, false, nil)
+	two.in, _ = two.ch.Consume("single", "", false, false, false, false, nil)
+	for range 4 {
+		b.Publish("", "single", Props{}, nil)
+	}
+	for range 4 {
+		one.next()
+	}
+	one.conn.Close()
+	for range 4 {
+		two.next()
+	}
+}
+
+func TestFaultsAreCommittedOnce(t *testing.T) {
+	for _, c := range []struct {
+		do          string
+		want        string // how the peer gets the message, and whether again
+		otherConn   bool
+		redelivered bool
+	}{
+		{"cut-before", "m", true, false}, // it never left
+		{"cut-inside", "m", true, true},
+		{"cut-after", "m", true, true},
+		{"restart", "m", true, false},
+		{"nonsense", "m", true, true}, // behind it the message was sent all the same
+		{"huge", "m", true, true},
+		{"channel-error", "m", true, false},
+		{"cancel", "m", true, false},
+		{"reorder", "n", false, false},
+	} {
+		b, dial := start(t, Fault{On: "deliver", Nth: 1, Do: c.do})
+		b.Publish("", "q", Props{MessageID: "m"}, []byte("body"))
+		b.Publish("", "q", Props{MessageID: "n"}, []byte("body"))
+		p := dial()
+		ended := p.ch.NotifyClose(make(chan *amqp.Error, 1))
+		cancelled := p.ch.NotifyCancel(make(chan string, 1))
+		_ = p.ch.Qos(1, 0, false)
+		p.in, _ = p.ch.Consume("q", "", false, false, false, false, nil)
+		if c.otherConn {
+			select {
+			case <-ended:
+			case <-cancelled:
+			case <-time.After(20 * time.Second):
+				t.Fatalf("%s: nothing happened", c.do)
+			}
+			p.conn.Close()
+			p = dial()
+			p.consume(1)
+		}
+		if d := p.next(); d.MessageId != c.want || d.Redelivered != c.redelivered {
+			t.Errorf("%s: %s, again %v", c.do, d.MessageId, d.Redelivered)
+		}
+	}
+}
+
+func TestLostAckIsRedelivered(t *testing.T) {
+	b, dial := start(t, Fault{On: "settle", Nth: 1, Do: "drop"}, Fault{On: "deliver", Nth: 2, Do: "twice"})
+	b.Publish("", "q", Props{MessageID: "m"}, nil)
+	p := dial()
+	p.consume(0)
+	_ = p.next().Ack(false)
+	b.Seen("ack-dropped", 1)
+	b.settles(t, "q", 0, 1)
+	b.Cut()
+	p = dial()
+	p.consume(0)
+	for range 2 { // and this time the broker hands it out twice
+		d := p.next()
+		if d.MessageId != "m" || !d.Redelivered {
+			t.Errorf("%+v", d)
+		}
+		_ = d.Ack(false)
+	}
+	b.settles(t, "q", 0, 0)
+}
+
+func TestLateConfirmAndRefusedLogin(t *testing.T) {
+	b, dial := start(t, Fault{On: "publish", Nth: 1, Do: "late-confirm"}, Fault{On: "publish", Nth: 2, Do: "refuse"}, Fault{On: "login", Nth: 2, Do: "refuse"})
+	p := dial()
+	_ = p.ch.Confirm(false)
+	late, _ := p.ch.PublishWithDeferredConfirm("", "q", false, false, amqp.Publishing{})
+	refused, _ := p.ch.PublishWithDeferredConfirm("", "q", false, false, amqp.Publishing{})
+	if refused.Wait() || late.Acked() {
+		t.Error("confirmed")
+	}
+	b.Release()
+	if !late.Wait() {
+		t.Error("never confirmed")
+	}
+	_, err := amqp.Dial("amqp://guest:guest@" + b.door.listen.Addr().String())
+	if err == nil {
+		t.Error("let in")
+	}
+}
+
+// Bytes that are no AMQP end their connection, and no other.
+func TestNonsenseFromAPeer(t *testing.T) {
+	b, dial := start(t)
+	p := dial()
+	p.consume(1)
+	for _, text := range []string{"GET / HTTP/1.1\r\n\r\n", "AMQP\x00\x00\x09\x01\x01\x00\x00\xff\xff\xff\xff", "AMQP\x00\x00\x09\x01\x01\x00\x01\x00\x00\x00\x00\xce"} {
+		c, err := net.Dial("tcp", b.door.listen.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = c.Write([]byte(text))
+		_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+		var all bytes.Buffer
+		if _, err := all.ReadFrom(c); err != nil && !strings.Contains(err.Error(), "reset") {
+			t.Errorf("%q: %v", text, err)
+		}
+		c.Close()
+	}
+	b.Publish("", "q", Props{MessageID: "m"}, nil)
+	if p.next().MessageId != "m" {
+		t.Error("another peer was touched")
+	}
+}
+
+func TestScriptIsCounted(t *testing.T) {
+	f, err := ParseFault("settle:3+2:drop")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := script{[]Fault{f}, map[string]int{}}
+	got := ""
+	for range 8 {
+		got += string(append([]byte(s.hit("settle")), '.')[0])
+	}
+	if got != "..d.d.d." {
+		t.Error(got)
+	}
+	for _, text := range []string{"", "settle:0:drop", "settle:1:dance", "x:1:drop", "settle:1+x:drop", "settle:drop"} {
+		if _, err := ParseFault(text); err == nil {
+			t.Errorf("taken: %q", text)
+		}
+	}
+	if _, err := (&Broker{}).Start("0.0.0.0:0"); err == nil {
+		t.Error("not loopback, and taken")
+	}
+}
