AMQP consumer: credit and reconnects without I/O, a front beside JSON-RPC, hard cases scripted

Need: some installations hand readings to a broker; every message read must end once and no excursion run twice.

--- a/cmd/thymechute/serve.go
+++ b/cmd/thymechute/serve.go
@@ -16,6 +16,7 @@
 
 	"thymechute/internal/catalog"
 	"thymechute/internal/config"
+	"thymechute/internal/front/amqp"
 	"thymechute/internal/index"
 	"thymechute/internal/loop"
 	"thymechute/internal/node"
@@ -38,6 +39,14 @@
 	*node.Instance
 }
 
+// timed is the loop, with what is to be done on it later.
+type timed struct {
+	*loop.Loop
+	after func(time.Duration, func())
+}
+
+func (t timed) After(wait time.Duration, what func()) { t.after(wait, what) }
+
 // serve runs one instance until its end.
 func serve(g config.Given, o *operator.File, signals <-chan os.Signal) error {
 	runtime.GOMAXPROCS(max(int(math.Ceil(g.Cores)), 1))
@@ -63,7 +72,11 @@
 		cores := link.NewLink(inst, dial("tcp", &g.Runtime), after, g.Seed, log)
 		calls := index.NewPool(inst, dial("tcp", &g.Index), (sockets-own)/callPart, log)
 		reports := catalog.New(g.Name, dial("udp", &g.Catalog))
-		inst.Connect(cores, calls, reports, front)
+		fronts := []node.Front{front}
+		if o.AMQP != nil {
+			fronts = append(fronts, amqp.New(inst, timed{l, after}, o.AMQP, g.Name, g.Seed, g.Site.Kind, log))
+		}
+		inst.Connect(cores, calls, reports, fronts...)
 		cores.Open()
 		go func() {
 			for s := range signals {
--- a/internal/aid/aid.go
+++ b/internal/aid/aid.go
@@ -242,10 +242,10 @@
 	return StartWith(t, given, nil)
 }
 
-// StartWith logs to the file instead of into the Program's memory.
-func StartWith(t *testing.T, given map[string]any, log *os.File) *Program {
+// StartWith logs to the file instead of into the Program's memory; args go on its command line.
+func StartWith(t *testing.T, given map[string]any, log *os.File, args ...string) *Program {
 	t.Helper()
-	p := &Program{t: t, Cmd: exec.Command(Built(t)), Exited: make(chan int, 1), file: filepath.Join(t.TempDir(), "config.json")}
+	p := &Program{t: t, Cmd: exec.Command(Built(t), args...), Exited: make(chan int, 1), file: filepath.Join(t.TempDir(), "config.json")}
 	text, err := json.Marshal(given)
 	if err != nil {
 		t.Fatal(err)
@@ -293,6 +293,16 @@
 	return Next(p.t, p.Exited, "the program's end")
 }
 
+// Eventually waits until it holds.
+func Eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
 // Next takes what comes from the channel.
 func Next[T any](t *testing.T, from <-chan T, what string) (x T) {
 	t.Helper()
--- a/internal/stand/broker/broker.go
+++ b/internal/stand/broker/broker.go
@@ -148,6 +148,15 @@
 	b.watch(e)
 }
 
+// hit counts an event of the script, and tells who watches that a fault is committed.
+func (b *Broker) hit(on string) string {
+	do := b.script.hit(on)
+	if do != "" {
+		b.tell("fault", nil, nil, nil)
+	}
+	return do
+}
+
 // Declare makes a queue; its arguments as RabbitMQ names them (x-dead-letter-exchange, x-queue-type,
 // x-delivery-limit, x-single-active-consumer).
 func (b *Broker) Declare(name string, args Table) error {
@@ -262,7 +271,7 @@
 		return false
 	}
 	ch, to := c.ch, c.ch.conn
-	do := b.script.hit("deliver")
+	do := b.hit("deliver")
 	switch do {
 	case "cut-before":
 		b.drop(to, "")
@@ -354,7 +363,7 @@
 	}
 	slices.Sort(tags)
 	for _, t := range tags {
-		switch do := b.script.hit("settle"); do {
+		switch do := b.hit("settle"); do {
 		case "drop", "drop-cut": // the ack never came here
 			b.tell("ack-dropped", ch.conn, ch.out[t].q, ch.out[t].m)
 			if do == "drop-cut" {
@@ -517,6 +526,13 @@
 	return b.told[what] >= n
 }
 
+// Counted is how many events of a kind there were.
+func (b *Broker) Counted(what string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.told[what]
+}
+
 // State tells what a queue holds now.
 func (b *Broker) State(name string) State {
 	b.mu.Lock()
--- a/internal/stand/broker/conn.go
+++ b/internal/stand/broker/conn.go
@@ -140,7 +140,7 @@
 	if c.out = append(c.out, p...); len(c.out) > mostOut {
 		c.net.Close() // its reader drops it
 	}
-	c.more.Signal()
+	c.more.Broadcast() // its reader may wait on it too
 }
 
 // cutInside takes the second half of the last frames away.
@@ -246,7 +246,7 @@
 	*step++
 	switch *step {
 	case 1:
-		switch c.b.script.hit("login") {
+		switch c.b.hit("login") {
 		case "refuse":
 			return fatal{403, "ACCESS_REFUSED"}
 		case "cut":
@@ -286,7 +286,7 @@
 		if c.ended {
 			return
 		}
-		if c.b.script.hit("heartbeat") == "mute" {
+		if c.b.hit("heartbeat") == "mute" {
 			c.muted = true
 		}
 		c.write(AppendFrame(nil, frameHeartbeat, 0, nil))
@@ -433,7 +433,7 @@
 		if q == nil {
 			return none("queue " + text(1))
 		}
-		switch b.script.hit("consume") {
+		switch b.hit("consume") {
 		case "channel-error":
 			b.refuse(ch, 403, "ACCESS_REFUSED - scripted", id)
 			return nil
@@ -520,7 +520,7 @@
 	b := c.b
 	ch.published++
 	number := ch.published
-	do := b.script.hit("publish")
+	do := b.hit("publish")
 	switch do {
 	case "cut-before":
 		return io.EOF
--- a/internal/told/told.go
+++ b/internal/told/told.go
@@ -38,6 +38,17 @@
 	return Site{told, row(flat, "domain.gauges.", ""), row(flat, "classes.", ".name"), row(flat, "tenants.", ".name")}
 }
 
+// Kind of a band by its name: pure, receipted or effectful; empty: no such band, or it is not told.
+func (s Site) Kind(band string) string {
+	for i, name := range s.Bands {
+		if name == band {
+			kind, _ := s.Told["band."+strconv.Itoa(i)+".kind"].(string)
+			return kind
+		}
+	}
+	return ""
+}
+
 // NoReadings are gauges of which nothing is offered.
 var NoReadings = policy.Gauges{Busy: -1, Runnable: -1}
 
