--- /dev/null
+++ b/cmd/thymelab/main.go
@@ -0,0 +1,143 @@
+// Command thymelab is for who builds and tries thymechute: stand-ins of outside parties and experiments with the real
+// program, on loopback only, each bounded in count and time. This file owns its command line. Exit codes: 0 the claim
+// holds, 1 it does not or could not be tried, 2 told something faulty.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"thymechute/internal/lab"
+	"thymechute/internal/stand/broker"
+)
+
+type faulty struct{ error }
+
+func main() {
+	err := command().Execute()
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "thymelab:", err)
+	if told := (faulty{}); errors.As(err, &told) {
+		os.Exit(2)
+	}
+	os.Exit(1)
+}
+
+func command() *cobra.Command {
+	root := &cobra.Command{Use: "thymelab", Short: "Stand-ins and experiments around thymechute, on loopback",
+		SilenceErrors: true, SilenceUsage: true, CompletionOptions: cobra.CompletionOptions{HiddenDefaultCmd: true}}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return faulty{err} })
+	stand := &cobra.Command{Use: "stand", Short: "Start a stand-in of an outside party"}
+	stand.AddCommand(standBroker())
+	run := &cobra.Command{Use: "run", Short: "Run an experiment: the real program and stand-ins"}
+	run.AddCommand(runAMQP())
+	root.AddCommand(stand, run)
+	return root
+}
+
+// experiment is the frame of all of them: flags, a folder of its own, the report.
+func experiment(name, short string, size int, do func(program, folder string, seed uint64, size int, progress func(string)) (*lab.Report, error)) *cobra.Command {
+	var seed uint64
+	var asJSON bool
+	c := &cobra.Command{Use: name, Short: short, Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+		if size < 200 || size > 10_000_000 {
+			return faulty{fmt.Errorf("--size: found %d, expected 200 to 10000000", size)}
+		}
+		folder, err := os.MkdirTemp("", "thymelab")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(folder)
+		program, err := lab.Build(folder)
+		if err != nil {
+			return err
+		}
+		report, err := do(program, folder, seed, size, func(line string) { fmt.Fprintln(c.ErrOrStderr(), line) })
+		if err != nil {
+			return err
+		}
+		if asJSON {
+			object := map[string]float64{}
+			for _, f := range report.Figures {
+				object[f.Name] = f.Value
+			}
+			_ = json.NewEncoder(c.OutOrStdout()).Encode(object)
+		} else {
+			for _, f := range report.Figures {
+				fmt.Fprintf(c.OutOrStdout(), "%-28s %.6g\n", f.Name, f.Value)
+			}
+		}
+		for _, f := range report.Faults {
+			fmt.Fprintln(c.ErrOrStderr(), f)
+		}
+		if len(report.Faults) > 0 {
+			return fmt.Errorf("%s: its claim does not hold", name)
+		}
+		return nil
+	}}
+	c.Flags().Uint64Var(&seed, "seed", 1, "of the faults' places and the instances")
+	c.Flags().IntVar(&size, "size", size, "messages")
+	c.Flags().BoolVar(&asJSON, "json", false, "print one object, figures by name")
+	return c
+}
+
+func runAMQP() *cobra.Command {
+	return experiment("amqp", "Two instances at a broker that loses acks, cuts and restarts; then the cost beside JSON-RPC", 100000, lab.AMQP)
+}
+
+func standBroker() *cobra.Command {
+	var listen string
+	var faults []string
+	var messages int
+	c := &cobra.Command{Use: "broker", Short: "A message broker: queue readings, dead letters in dead, until SIGINT or SIGTERM", Args: cobra.NoArgs,
+		Long: "A stand-in message broker that speaks AMQP 0-9-1, with the queue readings and the fanout exchange readings.given-up,\n" +
+			"bound to the queue dead. --fault EVENT:NTH[+EVERY]:FAULT commits a fault at a counted event.",
+		RunE: func(c *cobra.Command, _ []string) error {
+			var script []broker.Fault
+			for _, text := range faults {
+				f, err := broker.ParseFault(text)
+				if err != nil {
+					return faulty{err}
+				}
+				script = append(script, f)
+			}
+			b, err := broker.New(script...)
+			if err != nil {
+				return faulty{err}
+			}
+			for _, err := range []error{b.Declare("readings", nil), b.Declare("dead", nil), b.Exchange("readings.given-up", "fanout"),
+				b.Bind("dead", "readings.given-up", "")} {
+				if err != nil {
+					return err
+				}
+			}
+			b.Watch(func(e broker.Event) {
+				fmt.Fprintf(c.OutOrStdout(), "%s conn=%d peer=%q queue=%s id=%q type=%s redelivered=%v\n", e.What, e.Conn, e.Peer, e.Queue, e.ID, e.Type, e.Redelivered)
+			})
+			address, err := b.Start(listen)
+			if err != nil {
+				return err
+			}
+			defer b.Close()
+			for n := range messages {
+				b.Publish("", "readings", broker.Props{broker.Type: lab.Trace, broker.MessageID: fmt.Sprintf("m%d", n+1)}, []byte("reading"))
+			}
+			fmt.Fprintln(c.OutOrStdout(), "listening on", address)
+			stop := make(chan os.Signal, 1)
+			signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+			<-stop
+			return nil
+		}}
+	c.Flags().StringVar(&listen, "listen", "127.0.0.1:5672", "a loopback address")
+	c.Flags().StringArrayVar(&faults, "fault", nil, "a fault, as often as wanted")
+	c.Flags().IntVar(&messages, "messages", 0, "messages of the band trace that wait in readings from the start")
+	return c
+}
--- a/internal/stand/broker/broker.go
+++ b/internal/stand/broker/broker.go
@@ -24,9 +24,12 @@
 
 // Event is one thing that happened at the broker, for who watches.
 type Event struct {
-	What        string // published, delivered, acked, requeued, rejected, ack-dropped, lost
-	Conn        int    // number of the connection, from 1
+	What        string // published, delivered, acked, requeued, rejected, gone, ack-dropped, lost, consumed, cancelled, fault
+	Conn        int    // number of the connection, from 1; 0: the rig itself
+	Peer        string // the connection's own name
+	Tag         uint64 // of the delivery on that connection
 	Queue, ID   string // message-id
+	Type        string
 	Redelivered bool
 }
 
@@ -129,7 +132,7 @@
 	b.watch = f
 }
 
-func (b *Broker) tell(what string, c *conn, q *queue, m *message) {
+func (b *Broker) tell(what string, c *conn, q *queue, m *message, tag ...uint64) {
 	b.told[what]++
 	b.changed.Broadcast()
 	if b.watch == nil {
@@ -137,13 +140,16 @@
 	}
 	e := Event{What: what}
 	if c != nil {
-		e.Conn = c.number
+		e.Conn, e.Peer = c.number, c.name
+	}
+	if len(tag) > 0 {
+		e.Tag = tag[0]
 	}
 	if q != nil {
 		e.Queue = q.name
 	}
 	if m != nil {
-		e.ID, e.Redelivered = m.props.Text(MessageID), m.again
+		e.ID, e.Type, e.Redelivered = m.props.Text(MessageID), m.props.Text(Type), m.again
 	}
 	b.watch(e)
 }
@@ -339,7 +345,7 @@
 	if m.times > 0 && q.args["x-queue-type"] == "quorum" {
 		p = p.WithHeader("x-delivery-count", int64(m.times))
 	}
-	b.tell("delivered", ch.conn, q, m)
+	b.tell("delivered", ch.conn, q, m, ch.next)
 	if c.noAck {
 		b.held--
 	} else {
@@ -365,7 +371,7 @@
 	for _, t := range tags {
 		switch do := b.hit("settle"); do {
 		case "drop", "drop-cut": // the ack never came here
-			b.tell("ack-dropped", ch.conn, ch.out[t].q, ch.out[t].m)
+			b.tell("ack-dropped", ch.conn, ch.out[t].q, ch.out[t].m, t)
 			if do == "drop-cut" {
 				b.drop(ch.conn, "")
 				return true
@@ -392,18 +398,18 @@
 	delete(ch.out, tag)
 	u.c.out--
 	u.q.out--
-	if how == "requeued" {
+	if how == "requeued" || how == "gone" {
 		u.m.again = true
 		u.m.times++
 		if limit, ok := u.q.args["x-delivery-limit"].(int64); !ok || int64(u.m.times) <= limit {
-			b.tell(how, ch.conn, u.q, u.m)
+			b.tell(how, ch.conn, u.q, u.m, tag)
 			u.q.putBack(u.m)
 			return
 		}
 		how = "rejected"
 	}
 	b.held--
-	b.tell(how, ch.conn, u.q, u.m)
+	b.tell(how, ch.conn, u.q, u.m, tag)
 	if to, ok := u.q.args["x-dead-letter-exchange"].(string); ok && how == "rejected" {
 		key, ok := u.q.args["x-dead-letter-routing-key"].(string)
 		if !ok {
@@ -421,7 +427,7 @@
 	}
 	sort.Slice(tags, func(i, j int) bool { return tags[i] > tags[j] })
 	for _, t := range tags {
-		b.end(ch, t, "requeued")
+		b.end(ch, t, "gone")
 	}
 }
 
--- a/internal/stand/broker/conn.go
+++ b/internal/stand/broker/conn.go
@@ -24,6 +24,7 @@
 	b        *Broker
 	net      net.Conn
 	number   int
+	name     string     // its own, by its properties
 	more     *sync.Cond // on the broker's lock: output, the end, reading again
 	out      []byte
 	channels map[uint16]*channel
@@ -260,6 +261,9 @@
 		if part := strings.Split(m.Args[2].(string), "\x00"); m.Args[1] != "PLAIN" || len(part) != 3 || part[1] == "" {
 			return fatal{403, "ACCESS_REFUSED"}
 		}
+		if name, ok := m.Args[0].(Table)["connection_name"].(string); ok {
+			c.name = name
+		}
 		c.send(0, "connection.tune", uint16(mostChannels), c.b.FrameMax, c.b.Heartbeat)
 	case 2:
 		if size := m.Args[1].(uint32); size != 0 && size <= c.b.FrameMax && size >= 4096 {
