--- a/internal/lab/amqp.go
+++ b/internal/lab/amqp.go
@@ -394,7 +394,7 @@
 	settings := ""
 	if front == 0 {
 		settings = filepath.Join(folder, "cost.xml")
-		if err := os.WriteFile(settings, fmt.Appendf(nil, settingsFile, "", rig.address), 0o600); err != nil {
+		if err := os.WriteFile(settings, fmt.Appendf(nil, settingsFile, fmt.Sprintf(` least-credit="%d"`, rpcConns*rpcOpen), rig.address), 0o600); err != nil {
 			return 0, 0, err
 		}
 	}
@@ -415,7 +415,7 @@
 	}
 	stuck := time.AfterFunc(longest, rig.b.Close)
 	defer stuck.Stop()
-	give(size / 4) // the credit has found its place
+	give(size / 4) // the credit is at least as many as the other front's callers keep open
 	before, began := i.CPU(), time.Now()
 	give(size)
 	return i.CPU() - before, time.Since(began), nil
