Tests for a leaving consumer's confirms and for runs of a dead connection

Cause: with Owes and Gone taken out of the front every test still held; leaving was noticed by two ways, of which either could go unseen.

Change: a scripted case each, and one way only.

--- a/cmd/thymechute/amqp_test.go
+++ b/cmd/thymechute/amqp_test.go
@@ -19,12 +19,15 @@
 	settings string
 }
 
-const settingsForm = `<thymechute xmlns="urn:thymechute:operator:1"><amqp confirm-s="1" heartbeat-s="1" %s><broker address="%s"/>` +
+const settingsForm = `<thymechute xmlns="urn:thymechute:operator:1"><amqp heartbeat-s="1" %s><broker address="%s"/>` +
 	`<queue name="readings" dead-letter="given-up" %s/></amqp></thymechute>`
 
 // feed starts broker and program; the runtime is up, and more of the settings as told.
 func feed(t *testing.T, amqp, queue string, change func(map[string]any), script ...string) *fed {
 	t.Helper()
+	if !strings.Contains(amqp, "confirm-s") {
+		amqp += ` confirm-s="1"`
+	}
 	var faults []broker.Fault
 	for _, text := range script {
 		f, err := broker.ParseFault(text)
@@ -178,6 +181,20 @@
 	}
 }
 
+// Nobody waits for what came on a dead connection: a pure run is stopped, and what is handed out again runs anew.
+func TestPureRunOfADeadConnectionIsStopped(t *testing.T) {
+	f := feed(t, "", "", nil)
+	f.put("trace", "", "a")
+	first := f.started("a")
+	f.b.Cut()
+	if task, _ := f.Runtime.Command("stop"); task != first {
+		t.Errorf("stopped %s, want %s", task, first)
+	}
+	f.Runtime.End(1, first, "cut", "")
+	f.Runtime.End(2, f.started("a"), "good", "")
+	f.settled()
+}
+
 // To an instance that knows nothing of it, a redelivered message may have run.
 func TestRedeliveredToAColdInstanceIsNotRun(t *testing.T) {
 	f := feed(t, "", "", nil)
@@ -306,6 +323,25 @@
 	}
 }
 
+// A leaving instance waits for the confirm of a reply, so that its message is acked and not handed out again.
+func TestLeaveWaitsForConfirms(t *testing.T) {
+	f := feed(t, `confirm-s="5"`, "", nil, "publish:1:late-confirm")
+	f.with(broker.Props{broker.Type: "seal", broker.ReplyTo: "replies"}, "a")
+	task := f.started("a")
+	f.Program.Term()
+	f.Runtime.End(1, task, "good", "")
+	f.holds("replies", 1, 0)
+	select {
+	case code := <-f.Program.Exited:
+		t.Fatalf("ended with %d and left a message unsettled", code)
+	case <-time.After(time.Second): // over the grace and the rest that ends it where nothing is owed
+	}
+	f.b.Release()
+	if code := f.Program.Exit(); code != 0 || f.b.Counted("acked") != 1 {
+		t.Errorf("exit code %d, %d acked", code, f.b.Counted("acked"))
+	}
+}
+
 func TestRuntimeThatIsDownLeavesMessagesWithTheBroker(t *testing.T) {
 	f := feed(t, "", "", nil)
 	f.seen("consumed", 1)
--- a/internal/front/amqp/front.go
+++ b/internal/front/amqp/front.go
@@ -118,7 +118,7 @@
 	}
 	f.looked = now
 	l := f.door.Load()
-	f.in.Ready(f.time(), l.Up && !l.Leaving, l.Items, l.Room)
+	f.in.Ready(f.time(), l.Up, l.Items, l.Room)
 }
 
 // Dial opens a session with that broker.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -124,8 +124,7 @@
 // Load is how much of the instance is taken, for a front that may leave work where it is.
 type Load struct {
 	Up          bool // the module is at work and the runtime's link stands
-	Leaving     bool
-	Items, Room int // work items here, and how many may be
+	Items, Room int  // work items here, and how many may be
 }
 
 // Reports go to the catalog.
@@ -233,7 +232,7 @@
 
 // Load tells how much is taken now.
 func (n *Instance) Load() Load {
-	return Load{n.mod != nil && n.runtime.Up(), n.leaving, n.live, n.room / itemBytes}
+	return Load{n.mod != nil && n.runtime.Up(), n.live, n.room / itemBytes}
 }
 
 func (n *Instance) put(f func()) { n.inbox = append(n.inbox, f) }
