Acks no longer wait behind a cancel; an old receipt lends no result to another message

Cause: a broker that never answers a cancel held up the ack of what had run. A message handed out again just after its window met the entry that still stands, and got its result whatever its body was.

Change: consuming and cancelling go by steps of their own. An entry past its window counts for the same body only. What a broker pushes at a leaving instance after its cancel is given back once, not round and round.

--- a/cmd/thymechute/amqp_test.go
+++ b/cmd/thymechute/amqp_test.go
@@ -342,6 +342,41 @@
 	}
 }
 
+// What a broker pushes after the grace is not run, though it goes on pushing: it is the broker's again, as unrun.
+func TestPushedAfterTheGraceIsNotRun(t *testing.T) {
+	f := feed(t, `confirm-s="2" returns="0"`, "", nil, "cancel:1:ignore")
+	f.put("seal", "", "a")
+	task := f.started("a")
+	f.Program.Term()
+	f.seen("fault", 1)
+	time.Sleep(400 * time.Millisecond) // the grace of 0.3 s is over
+	f.put("seal", "", "too late")
+	f.seen("delivered", 3) // it comes straight back, once
+	f.Runtime.End(1, task, "good", "")
+	f.seen("acked", 2) // the one that ran, and the one that was given back as a copy
+	if code := f.Program.Exit(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	f.holds("readings", 1, 0)
+	if n := f.b.Counted("delivered"); n != 3 {
+		t.Errorf("%d deliveries: it goes round and round", n)
+	}
+}
+
+func TestBrokerThatUsesOneTagTwiceIsLeft(t *testing.T) {
+	f := feed(t, "", "", nil, "deliver:1:same-tag")
+	f.put("excursion", "k1", "a")
+	f.seen("lost", 1)
+	f.put("trace", "", "b")
+	for n := 1; ; n++ {
+		task, got := f.Runtime.Command("start")
+		if f.Runtime.End(n, task, "good", ""); got == "b" {
+			break
+		}
+	}
+	f.settled()
+}
+
 func TestRuntimeThatIsDownLeavesMessagesWithTheBroker(t *testing.T) {
 	f := feed(t, "", "", nil)
 	f.seen("consumed", 1)
--- a/cmd/thymelab/main.go
+++ b/cmd/thymelab/main.go
@@ -10,11 +10,13 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
 	"thymechute/internal/lab"
 	"thymechute/internal/stand/broker"
+	"thymechute/internal/stand/runtime"
 )
 
 type faulty struct{ error }
@@ -36,7 +38,7 @@
 		SilenceErrors: true, SilenceUsage: true, CompletionOptions: cobra.CompletionOptions{HiddenDefaultCmd: true}}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return faulty{err} })
 	stand := &cobra.Command{Use: "stand", Short: "Start a stand-in of an outside party"}
-	stand.AddCommand(standBroker())
+	stand.AddCommand(standBroker(), standRuntime())
 	run := &cobra.Command{Use: "run", Short: "Run an experiment: the real program and stand-ins"}
 	run.AddCommand(runAMQP(), runStorm())
 	root.AddCommand(stand, run)
@@ -135,9 +137,7 @@
 				b.Publish("", "readings", broker.Props{broker.Type: lab.Trace, broker.MessageID: fmt.Sprintf("m%d", n+1)}, []byte("reading"))
 			}
 			fmt.Fprintln(c.OutOrStdout(), "listening on", address)
-			stop := make(chan os.Signal, 1)
-			signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
-			<-stop
+			untilStopped()
 			return nil
 		}}
 	c.Flags().StringVar(&listen, "listen", "127.0.0.1:5672", "a loopback address")
@@ -145,3 +145,29 @@
 	c.Flags().IntVar(&messages, "messages", 0, "messages of the band trace that wait in readings from the start")
 	return c
 }
+
+func standRuntime() *cobra.Command {
+	var listen string
+	var span time.Duration
+	c := &cobra.Command{Use: "runtime", Short: "A runtime that runs what it is told, until SIGINT or SIGTERM", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			rt, address, err := runtime.Start(listen, func(string, []byte) (time.Duration, []byte) { return span, []byte("done") },
+				func(band string, body []byte) { fmt.Fprintf(c.OutOrStdout(), "run band=%s body=%.64q\n", band, body) })
+			if err != nil {
+				return err
+			}
+			defer rt.Close()
+			fmt.Fprintln(c.OutOrStdout(), "listening on", address)
+			untilStopped()
+			return nil
+		}}
+	c.Flags().StringVar(&listen, "listen", "127.0.0.1:7300", "a loopback address")
+	c.Flags().DurationVar(&span, "work", 5*time.Millisecond, "how long a run takes")
+	return c
+}
+
+func untilStopped() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	<-stop
+}
--- a/internal/front/amqp/fields.go
+++ b/internal/front/amqp/fields.go
@@ -19,6 +19,7 @@
 const (
 	longestWord  = 128
 	longestSpan  = 24 * time.Hour // of a patience; more is as good as none told
+	leavingField = "x-thymechute-leaving"
 	returnsField = "x-thymechute-returns"
 	reasonField  = "x-thymechute-reason"
 	numberField  = "x-thymechute-publish"
--- a/internal/front/amqp/front.go
+++ b/internal/front/amqp/front.go
@@ -62,8 +62,9 @@
 	number  uint64
 	stands  bool // the session is up
 	leaving bool
-	drained bool // the consumers are cancelled and have brought their last
-	left    bool // the closing has been ordered
+	late    []*message // came straight back to this instance that leaves: given back once nothing more can come
+	drained bool       // the consumers are cancelled and have brought their last
+	left    bool       // the closing has been ordered
 	counts  Counts
 }
 
@@ -139,7 +140,7 @@
 	s.hangup()
 	f.now = nil
 	f.counts.CallerGone += uint64(len(f.open))
-	f.open = nil
+	f.open, f.late = nil, nil
 	clear(f.waits)
 	f.door.Gone(s)
 }
@@ -148,14 +149,14 @@
 func (f *Front) Consume(credit int) {
 	f.drained = false
 	f.in.Asked(f.time())
-	f.now.put(consume(credit))
+	f.now.step(consume(credit))
 }
 
 // Pause cancels the consumers.
 func (f *Front) Pause() {
 	f.drained = false
 	f.in.Asked(f.time())
-	f.now.put(pause)
+	f.now.step(pause)
 }
 
 // Wake asks for a Tick; a later one that was asked for before does no harm.
@@ -197,6 +198,10 @@
 			f.in.Answered(now)
 		case pausing:
 			f.drained = true
+			for _, m := range f.late {
+				f.giveBack(m, returned(&m.d))
+			}
+			f.late = nil
 			f.in.Answered(now)
 			f.finish()
 		case blocked:
@@ -273,6 +278,8 @@
 		switch {
 		case !m.until.IsZero() && time.Until(m.until) <= time.Second/10:
 			f.giveUp(m, "its patience is over")
+		case f.leaving && !f.drained && m.d.Headers[leavingField] == f.name:
+			f.late = append(f.late, m) // the broker pushes on though consuming was cancelled: this would go round and round
 		case f.leaving: // the next consumer has it at once, and no return is counted
 			f.giveBack(m, times)
 		case times >= f.told.Returns:
@@ -297,7 +304,11 @@
 // and it carries the count of its returns. Only then is the message itself settled.
 func (f *Front) giveBack(m *message, times int) {
 	m.fate = intake.Returned
-	f.publish(m, "", m.queue.Name, publishing(&m.d, returnsField, int64(times)))
+	p := publishing(&m.d, returnsField, int64(times))
+	if delete(p.Headers, leavingField); f.leaving {
+		p.Headers[leavingField] = f.name
+	}
+	f.publish(m, "", m.queue.Name, p)
 }
 
 // giveUp hands it to the dead-letter exchange, with the reason.
@@ -342,7 +353,7 @@
 }
 
 // settle is the last of a message here.
-func (f *Front) settle(m *message, how func(*session) error) {
+func (f *Front) settle(m *message, how order) {
 	delete(f.open, m.tag)
 	f.now.put(how)
 	f.in.Ended(f.time(), m.fate, time.Since(m.came), m.comeBack)
--- a/internal/front/amqp/session.go
+++ b/internal/front/amqp/session.go
@@ -63,14 +63,15 @@
 	taken    func([]event)  // on the loop
 	answered func(*session, string, node.Answer)
 	orders   chan order
+	steps    chan order    // consume and pause, which wait for the broker: acks must not stand behind them
 	over     chan struct{} // closed when the loop wants no more of it
 	end      sync.Once
 
 	guard     *guard
 	conn      *amqp.Connection
 	in, out   *amqp.Channel // consumes, publishes
-	consumers int           // of the session's goroutine: how often it has consumed
-	tags      []string
+	consumers int           // of the steps' goroutine: how often it has consumed
+	tags      []string      // as well
 	readers   sync.WaitGroup
 	confirms  chan amqp.Confirmation
 	returns   chan amqp.Return
@@ -86,7 +87,7 @@
 // open starts one; bound is how many messages may be unsettled at a time.
 func open(told *operator.AMQP, name, address string, bound int, hand func(func()), taken func([]event),
 	answered func(*session, string, node.Answer)) *session {
-	s := &session{told: told, name: name, hand: hand, taken: taken, answered: answered, orders: make(chan order, 2*bound+64),
+	s := &session{told: told, name: name, hand: hand, taken: taken, answered: answered, orders: make(chan order, 2*bound+64), steps: make(chan order, 64),
 		over: make(chan struct{}), numbers: map[uint64]uint64{}}
 	go s.live(address, bound)
 	return s
@@ -113,10 +114,15 @@
 // hangup ends it without waiting for the broker. It may be called from any goroutine, and more than once.
 func (s *session) hangup() { s.end.Do(func() { close(s.over) }) }
 
-// put gives an order; an order for a session that is over is dropped. It never waits.
-func (s *session) put(do func(*session) error) {
+// put gives an order, and step one that waits for the broker; an order for a session that is over is dropped. They
+// never wait themselves.
+func (s *session) put(do order) { s.queue(s.orders, do) }
+
+func (s *session) step(do order) { s.queue(s.steps, do) }
+
+func (s *session) queue(to chan order, do order) {
 	select {
-	case s.orders <- do:
+	case to <- do:
 	default: // can't be, by the bound; a defect must cost the connection, not the loop
 		s.hangup()
 	}
@@ -236,10 +242,26 @@
 		}
 		return e
 	}
+	failed := make(chan error, 1)
+	go func() {
+		for {
+			select {
+			case <-s.over:
+				return
+			case do := <-s.steps:
+				if err := do(s); err != nil {
+					failed <- err
+					return
+				}
+			}
+		}
+	}()
 	for {
 		select {
 		case <-s.over:
 			return errors.New("given up")
+		case err := <-failed:
+			return err
 		case e := <-gone:
 			return broken(e)
 		case e := <-inGone:
@@ -313,9 +335,8 @@
 // The orders.
 
 // consume takes messages from all queues, each with that credit; where it does already, anew.
-func consume(credit int) func(*session) error {
+func consume(credit int) order {
 	return func(s *session) error {
-		s.guard.cork(false)
 		if err := s.cancel(); err != nil {
 			return err
 		}
@@ -354,7 +375,6 @@
 
 // pause cancels the consumers; the event comes behind the last message that they brought.
 func pause(s *session) error {
-	s.guard.cork(false)
 	if err := s.cancel(); err != nil {
 		return err
 	}
@@ -375,7 +395,7 @@
 }
 
 // ack settles a message, and lets the broker bring another.
-func ack(tag uint64) func(*session) error {
+func ack(tag uint64) order {
 	return func(s *session) error {
 		s.guard.allow(1)
 		return s.in.Ack(tag, false)
@@ -383,7 +403,7 @@
 }
 
 // back gives a message to its queue again, or to the broker's own dead-letter exchange.
-func back(tag uint64, requeue bool) func(*session) error {
+func back(tag uint64, requeue bool) order {
 	return func(s *session) error {
 		s.guard.allow(1)
 		return s.in.Nack(tag, false, requeue)
@@ -391,7 +411,7 @@
 }
 
 // publish sends a message, of which confirmed tells under the number. A channel that has just been closed fails it.
-func publish(number uint64, exchange, key string, p amqp.Publishing) func(*session) error {
+func publish(number uint64, exchange, key string, p amqp.Publishing) order {
 	return func(s *session) error {
 		p.Headers[numberField] = int64(number)
 		if err := s.out.Publish(exchange, key, true, false, p); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -430,19 +430,24 @@
 		work.Patience = max(ask.Patience-work.Waited, 1)
 	}
 	n.lastRead = n.now
-	if r := n.receipts[it.key]; it.key != "" && r != nil && n.now-work.Waited <= r.end {
-		if kind == "receipted" && r.body != n.digest(ask.Body) { // not the same request: it must not get that one's result
+	r := n.receipts[it.key]
+	same := r != nil && r.body == n.digest(ask.Body)
+	switch window := n.span("band." + strconv.Itoa(it.band) + ".window_s"); {
+	case it.key != "" && r != nil && n.now-work.Waited <= r.end:
+		if kind == "receipted" && !same { // not the same request: it must not get that one's result
 			it.why = Conflict
 			n.answer(w, Answer{Kind: Scrapped})
 			n.Release(w)
 			return
 		}
 		work.Forerunner = r.w
-	} else if ask.Elsewhere && kind != "pure" {
-		work.Forerunner, it.why = policy.GoneForerunner, MayHaveRun
-	} else if kind == "receipted" && ask.Again && n.before && n.now-work.Waited < n.first+n.span("band."+strconv.Itoa(it.band)+".window_s") {
-		// The life before this one may have run an earlier try, and nothing of it is known here.
+	case ask.Elsewhere && kind != "pure",
+		kind == "receipted" && ask.Again && n.before && n.now-work.Waited < n.first+window:
+		// Another instance or the life before this one may have run an earlier try, and nothing of it is known here.
 		work.Forerunner, it.why = policy.GoneForerunner, MayHaveRun
+		if !same { // an entry past its window that still stands is this request's, or is not for it
+			it.key = ""
+		}
 	}
 	n.mod.Arrived(n.now, w, work)
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -298,6 +298,30 @@
 	s.wants(t, 1, "answer e 0 kept")
 }
 
+// At the very end of a window the entry still stands for a while: a message that is handed out again then gets its own
+// result, never another's, and is not run.
+func TestHandedOutAgainAfterItsWindow(t *testing.T) {
+	n, s := up(nil)
+	n.ask(s, "a", "receipted", "key", 0)
+	n.End("a", policy.OK, 0, []byte("kept"))
+	n.Round()
+	again := func(rid, body string) {
+		if err := n.Arrive(s, rid, Ask{Rid: rid, Band: "receipted", Receipt: "key", KB: 1, Elsewhere: true, Came: time.Now(), Body: []byte(body)}); err != nil {
+			t.Fatal(err)
+		}
+		n.Round()
+	}
+	n.receipts["receipted key"].end = n.now - time.Millisecond
+	again("b", "x")
+	s.wants(t, 1, "answer b 0 kept")
+	again("c", "another")
+	s.wants(t, 1, "answer c 2")
+	n.discard("receipted key")
+	again("d", "x")
+	s.wants(t, 1, "answer d 2")
+	s.wants(t, 1, "start")
+}
+
 func TestPatienceThatIsOverIsNotTakenForNone(t *testing.T) {
 	n, s := up(nil)
 	for rid, patience := range map[string]time.Duration{"a": time.Millisecond, "b": time.Minute} {
--- a/internal/stand/broker/broker.go
+++ b/internal/stand/broker/broker.go
@@ -329,6 +329,8 @@
 		again.again = true
 		b.held++
 		b.hand(c, &again)
+	case "same-tag": // two messages under one delivery tag
+		to.content(ch.id, AppendMethod(nil, "basic.deliver", c.tag, ch.next, false, m.exchange, m.key), m.props, m.body)
 	case "cut-inside":
 		to.cutInside()
 		b.drop(to, "flush")
--- a/internal/stand/broker/conn.go
+++ b/internal/stand/broker/conn.go
@@ -457,6 +457,9 @@
 		b.tell("consumed", c, q, nil)
 		ok(!is(6), tag)
 	case "basic.cancel":
+		if b.hit("cancel") == "ignore" { // it goes on delivering, and never answers
+			return nil
+		}
 		if x := ch.consumers[text(0)]; x != nil {
 			b.cancel(x)
 			b.tell("cancelled", c, x.q, nil)
--- a/internal/stand/broker/script.go
+++ b/internal/stand/broker/script.go
@@ -11,7 +11,7 @@
 
 // Fault is committed at the Nth event of a kind, and at each Every-th one after where that is set.
 type Fault struct {
-	On    string // deliver, settle, publish, login, consume, heartbeat
+	On    string // deliver, settle, publish, login, consume, cancel, heartbeat
 	Nth   int    // 1: the first
 	Every int    // 0: once
 	Do    string
@@ -20,11 +20,12 @@
 // What can be done at which event.
 var faults = map[string][]string{
 	"deliver": {"cut-before", "cut-inside", "cut-after", "twice", "reorder", "nonsense", "huge", "endless", "foreign",
-		"mute", "stop-reading", "cancel", "channel-error", "restart", "block"},
+		"same-tag", "mute", "stop-reading", "cancel", "channel-error", "restart", "block"},
 	"settle":    {"drop", "drop-cut", "cut-after", "restart", "stop-reading"},
 	"publish":   {"no-confirm", "late-confirm", "refuse", "channel-error", "cut-before", "cut-after"},
 	"login":     {"refuse", "cut", "nonsense", "mute"},
 	"consume":   {"channel-error", "cut"},
+	"cancel":    {"ignore"},
 	"heartbeat": {"mute"},
 }
 
