Consumer: another instance, two at once, blocked, TLS scripted; results of three seeds

Change: four scripted cases; docs/results.md has the experiment's figures, docs/ROADMAP.md what stands and what is left.

--- a/cmd/thymechute/amqp_test.go
+++ b/cmd/thymechute/amqp_test.go
@@ -1,7 +1,16 @@
 package main
 
 import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
 	"fmt"
+	"io"
+	"math/big"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -16,6 +25,7 @@
 type fed struct {
 	*aid.World
 	b        *broker.Broker
+	address  string // the broker's
 	settings string
 }
 
@@ -52,7 +62,7 @@
 			t.Fatal(err)
 		}
 	}
-	f := &fed{World: aid.NewWorld(t, change), b: b, settings: filepath.Join(t.TempDir(), "settings.xml")}
+	f := &fed{World: aid.NewWorld(t, change), b: b, address: address, settings: filepath.Join(t.TempDir(), "settings.xml")}
 	if err := os.WriteFile(f.settings, fmt.Appendf(nil, settingsForm, amqp, address, queue), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -207,6 +217,110 @@
 	f.last(1)
 }
 
+// The broker hands it to another instance while the first still runs it: two instances, one run.
+func TestRedeliveredToAnotherInstanceWhileItRuns(t *testing.T) {
+	f := feed(t, "", "", nil)
+	f.put("excursion", "k1", "a")
+	task := f.started("a")
+	other := aid.NewWorld(t, func(given map[string]any) { given["name"] = "n4" })
+	other.Program = aid.StartWith(t, other.Given, nil, "--settings", f.settings)
+	other.Runtime.Sync(0, "new", 0)
+	f.seen("consumed", 2)
+	f.b.CutPeer("n3")
+	f.dead("k1", "may have run already")
+	f.Runtime.End(1, task, "good", "")
+	f.seen("consumed", 3)
+	f.b.CutPeer("n4")
+	other.Program.Term() // its stand-in fails on any start
+	if code := other.Program.Exit(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	f.last(2)
+}
+
+func TestHandedOutTwiceAtOnceRunsOnce(t *testing.T) {
+	f := feed(t, "", "", nil, "deliver:1:twice")
+	f.put("excursion", "k1", "a")
+	task := f.started("a")
+	f.seen("delivered", 2)
+	f.Runtime.End(1, task, "good", "")
+	f.seen("acked", 2)
+	f.last(2)
+}
+
+func TestBlockedBrokerPausesAndGoesOn(t *testing.T) {
+	f := feed(t, "", "", nil, "deliver:1:block")
+	f.put("trace", "", "a")
+	task := f.started("a")
+	f.seen("cancelled", 1)
+	f.put("trace", "", "b")
+	f.holds("readings", 1, 1)
+	f.Runtime.End(1, task, "good", "")
+	f.b.Release()
+	f.Runtime.End(2, f.started("b"), "good", "")
+	f.settled()
+}
+
+// The broker behind TLS, with a login of its own; a certificate of another name is refused.
+func TestBrokerBehindTLS(t *testing.T) {
+	f := feed(t, "", "", nil) // its own connection goes first
+	f.Program.Term()
+	f.Program.Exit()
+	folder := t.TempDir()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	form := &x509.Certificate{SerialNumber: big.NewInt(1), DNSNames: []string{"broker"}, NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true}
+	raw, err := x509.CreateCertificate(rand.Reader, form, form, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	front, err := tls.Listen("tcp", "127.0.0.1:0", &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{raw}, PrivateKey: key}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { front.Close() })
+	go func() {
+		for {
+			c, err := front.Accept()
+			if err != nil {
+				return
+			}
+			to, err := net.Dial("tcp", f.address)
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(to, c); to.Close() }()
+			go func() { _, _ = io.Copy(c, to); c.Close() }()
+		}
+	}()
+	put := func(name string, text []byte) string {
+		path := filepath.Join(folder, name)
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	ca, login := put("ca.pem", pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: raw})), put("login", []byte("reader:a very secret word\n"))
+	for _, name := range []string{"another", "broker"} {
+		f.settings = put("tls.xml", fmt.Appendf(nil, `<thymechute xmlns="urn:thymechute:operator:1"><amqp><broker address="%s"/><login file="%s"/>`+
+			`<tls ca="%s" name="%s"/><queue name="readings" dead-letter="given-up"/></amqp></thymechute>`, front.Addr(), login, ca, name))
+		f.live("old", 1000)
+		if name == "another" {
+			aid.Eventually(t, "the certificate is refused", func() bool { return strings.Contains(f.Program.Log(), "not another") })
+			if strings.Contains(f.Program.Log(), "secret") {
+				t.Error("the log tells a credential")
+			}
+			f.Program.Term()
+			f.Program.Exit()
+		}
+	}
+	f.put("trace", "", "a")
+	f.Runtime.End(1, f.started("a"), "good", "")
+	f.settled()
+}
+
 func TestRedeliveredIsRunWhereTheQueueProvesThatItDidNot(t *testing.T) {
 	f := feed(t, "", `redelivered="run"`, nil, "deliver:1:cut-after", "deliver:3:cut-after")
 	f.put("excursion", "k1", "a")
--- a/internal/stand/broker/broker.go
+++ b/internal/stand/broker/broker.go
@@ -484,12 +484,15 @@
 }
 
 // Cut drops the newest connection.
-func (b *Broker) Cut() {
+func (b *Broker) Cut() { b.CutPeer("") }
+
+// CutPeer drops the newest connection of that name, or of any where it is empty.
+func (b *Broker) CutPeer(name string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var newest *conn
 	for c := range b.conns {
-		if newest == nil || c.number > newest.number {
+		if (name == "" || c.name == name) && (newest == nil || c.number > newest.number) {
 			newest = c
 		}
 	}
