File layer for state that outlives a process, and a disk that crashes by script

Change: internal/state/disk names the few file calls and what of each outlives a crash; internal/stand/crashdisk loses, tears, keeps and dooms by a told generator, fails any call and bounds the room.

Measured: state machine tests hold the stand-in against a real folder and against the promises.

--- /dev/null
+++ b/internal/stand/crashdisk/crashdisk_test.go
@@ -0,0 +1,218 @@
+package crashdisk
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"syscall"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"thymechute/internal/state/disk"
+)
+
+func read(t interface{ Fatal(...any) }, f disk.File) []byte {
+	size, err := f.Size()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := make([]byte, size)
+	if _, err := f.ReadAt(b, 0); err != nil && size > 0 {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// As long as nothing crashes or fails, the stand-in does what a real folder does.
+func TestAsARealFolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		path, err := os.MkdirTemp("", "disk")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer os.RemoveAll(path)
+		real, err := disk.Open(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		both := []disk.Folder{real, New().Folder()}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			file := rapid.SampledFrom([]string{"a", "b", ".c", "d/e"}).Draw(t, "file")
+			to := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "to")
+			step := rapid.IntRange(0, 5).Draw(t, "step")
+			text := rapid.SliceOfN(rapid.Byte(), 0, 9).Draw(t, "text")
+			var did [2]string
+			for n, f := range both {
+				var open disk.File
+				var err error
+				switch step {
+				case 0:
+					open, err = f.Create(file)
+				case 1, 2:
+					if open, err = f.Open(file); err == nil {
+						_, err = open.Append(text)
+					}
+				case 3:
+					err = f.Rename(file, to)
+				case 4:
+					err = f.Remove(file)
+				case 5:
+					if open, err = f.Open(file); err == nil {
+						size, _ := open.Size()
+						err = errors.Join(open.Truncate(size/2), open.Sync(), f.Sync())
+					}
+				}
+				names, listed := f.Names()
+				did[n] = fmt.Sprint(err == nil, errors.Is(err, os.ErrExist), errors.Is(err, os.ErrNotExist), names, listed)
+				if open != nil {
+					did[n] += fmt.Sprintf(" %q", read(t, open))
+					open.Close()
+				}
+			}
+			if did[0] != did[1] {
+				t.Fatalf("step %d of %s: %s, and the stand-in %s", step, file, did[0], did[1])
+			}
+		}
+	})
+}
+
+// Whatever a crash keeps: what was synced is there, and behind it nothing but a beginning of what was appended, and zeros.
+func TestCrashKeepsWhatIsSure(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := New()
+		f := d.Folder()
+		file, err := f.Create("log")
+		if err != nil || f.Sync() != nil {
+			t.Fatal(err)
+		}
+		var all []byte
+		sure := 0
+		for range rapid.IntRange(0, 20).Draw(t, "steps") {
+			p := rapid.SliceOfN(rapid.ByteRange(1, 255), 1, 20).Draw(t, "text")
+			if _, err := file.Append(p); err != nil {
+				t.Fatal(err)
+			}
+			all = append(all, p...)
+			if rapid.Bool().Draw(t, "sync") {
+				if err := file.Sync(); err != nil {
+					t.Fatal(err)
+				}
+				sure = len(all)
+			}
+		}
+		d.Crash(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "chance") })
+		if _, err := file.Append(nil); !errors.Is(err, ErrCrashed) {
+			t.Fatalf("still open: %v", err)
+		}
+		again, err := d.Folder().Open("log")
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := read(t, again)
+		text := bytes.TrimRight(got, "\x00")
+		if len(text) < sure || !bytes.HasPrefix(all, text) || len(got) > len(all) {
+			t.Fatalf("%d sure of %q, got %q", sure, all, got)
+		}
+	})
+}
+
+func TestNamesThatWereNotSyncedMayGoOrStay(t *testing.T) {
+	for keep, want := range map[int]string{0: "[b]", 1: "[a]"} {
+		d := New()
+		f := d.Folder()
+		if _, err := f.Create("a"); err != nil || f.Sync() != nil {
+			t.Fatal(err)
+		}
+		if err := f.Rename("a", "b"); err != nil {
+			t.Fatal(err)
+		}
+		d.Crash(func(n int) int { return min(keep, n-1) })
+		if names, _ := d.Folder().Names(); fmt.Sprint(names) != want {
+			t.Errorf("chance %d: %v, want %s", keep, names, want)
+		}
+	}
+}
+
+// After a Sync that failed a later good one proves nothing of what the first should have kept.
+func TestFailedSyncLosesItsPages(t *testing.T) {
+	d := New()
+	f := d.Folder()
+	file, _ := f.Create("log")
+	_ = f.Sync()
+	_, _ = file.Append([]byte("sure"))
+	_ = file.Sync()
+	_, _ = file.Append([]byte("lost"))
+	d.FailAt(1, syscall.EIO)
+	if err := file.Sync(); !errors.Is(err, syscall.EIO) {
+		t.Fatal(err)
+	}
+	_, _ = file.Append([]byte("later"))
+	if err := file.Sync(); err != nil || string(read(t, file)) != "surelostlater" {
+		t.Fatal(err)
+	}
+	d.Crash(func(int) int { return 0 })
+	again, _ := d.Folder().Open("log")
+	if got := string(read(t, again)); got != "sure\x00\x00\x00\x00later" {
+		t.Errorf("%q", got)
+	}
+}
+
+func TestFailingAppendFullDiskAndLock(t *testing.T) {
+	d := New()
+	f := d.Folder()
+	file, _ := f.Create("log")
+	d.FailAt(1, syscall.EIO)
+	if n, err := file.Append([]byte("1234")); n != 2 || !errors.Is(err, syscall.EIO) {
+		t.Errorf("%d, %v", n, err)
+	}
+	d.Room(5)
+	if n, err := file.Append([]byte("5678")); n != 3 || !errors.Is(err, syscall.ENOSPC) {
+		t.Errorf("%d, %v", n, err)
+	}
+	d.Room(-1)
+	if n, err := file.Append([]byte("9")); n != 1 || err != nil || string(read(t, file)) != "125679" {
+		t.Errorf("%d, %v", n, err)
+	}
+	unlock, err := f.Lock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.Lock(); !errors.Is(err, disk.ErrLocked) {
+		t.Errorf("locked twice: %v", err)
+	}
+	_ = unlock()
+	if _, err := f.Lock(); err != nil {
+		t.Error(err)
+	}
+	d.Crash(func(int) int { return 0 })
+	if _, err := d.Folder().Lock(); err != nil {
+		t.Errorf("a crash does not unlock: %v", err)
+	}
+}
+
+func TestRealFolderIsLockedOnce(t *testing.T) {
+	path := t.TempDir()
+	f, err := disk.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	unlock, err := f.Lock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, _ := disk.Open(path)
+	if _, err := other.Lock(); !errors.Is(err, disk.ErrLocked) {
+		t.Errorf("locked twice: %v", err)
+	}
+	if err := unlock(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := other.Lock(); err != nil {
+		t.Error(err)
+	}
+	if _, err := disk.Open(path + "/none"); err == nil {
+		t.Error("a folder that is not there")
+	}
+}
