Stand-in broker's fault test waits until the broker knows of the lost connection

Cause: in a clean checkout under load the test failed once: the peer knew of the end of its connection before the broker did, dialled anew and got the second message while the first was still out on the old connection.

Change: it waits for the broker's own event.

--- a/internal/stand/broker/broker_test.go
+++ b/internal/stand/broker/broker_test.go
@@ -210,6 +210,9 @@
 				t.Fatalf("%s: nothing happened", c.do)
 			}
 			p.conn.Close()
+			if !b.Seen("lost", 1) { // the peer knows of the end before the broker does
+				t.Fatalf("%s: not lost", c.do)
+			}
 			p = dial()
 			p.consume(1)
 		}
