Second reading: publishes of a closed channel by number, order without chance, less written twice

Cause: read whole once more. A closed publishing channel failed also what had not been sent on it yet; the digest of a body was made where nothing compares it; the stand-in broker went over maps, whose order is chance; counts had no reader; rigs declared the same queues three times.

--- a/cmd/thymechute/amqp_test.go
+++ b/cmd/thymechute/amqp_test.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/pem"
+	"errors"
 	"fmt"
 	"io"
 	"math/big"
@@ -56,11 +57,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(b.Close)
-	for _, err := range []error{b.Declare("readings", broker.Table{"x-dead-letter-exchange": "given-up"}), b.Declare("dead", nil),
-		b.Declare("replies", nil), b.Exchange("given-up", "fanout"), b.Bind("dead", "given-up", "")} {
-		if err != nil {
-			t.Fatal(err)
-		}
+	if err := errors.Join(b.Depot("given-up", broker.Table{"x-dead-letter-exchange": "given-up"}), b.Declare("replies", nil)); err != nil {
+		t.Fatal(err)
 	}
 	f := &fed{World: aid.NewWorld(t, change), b: b, address: address, settings: filepath.Join(t.TempDir(), "settings.xml")}
 	if err := os.WriteFile(f.settings, fmt.Appendf(nil, settingsForm, amqp, address, queue), 0o600); err != nil {
--- a/cmd/thymelab/main.go
+++ b/cmd/thymelab/main.go
@@ -119,11 +119,8 @@
 			if err != nil {
 				return faulty{err}
 			}
-			for _, err := range []error{b.Declare("readings", nil), b.Declare("dead", nil), b.Exchange("readings.given-up", "fanout"),
-				b.Bind("dead", "readings.given-up", "")} {
-				if err != nil {
-					return err
-				}
+			if err := b.Depot("readings.given-up", nil); err != nil {
+				return err
 			}
 			b.Watch(func(e broker.Event) {
 				fmt.Fprintf(c.OutOrStdout(), "%s conn=%d peer=%q queue=%s id=%q type=%s redelivered=%v\n", e.What, e.Conn, e.Peer, e.Queue, e.ID, e.Type, e.Redelivered)
--- a/internal/decide/intake/intake.go
+++ b/internal/decide/intake/intake.go
@@ -33,6 +33,8 @@
 	baseFor      = 10 * time.Second // the least time in hand is sought anew
 	roomShort    = 0.9              // of the instance's items: it pauses
 	roomAgain    = 0.7              // and goes on
+
+	advised = "turned back or not taken" // the reason of a pause that the module's advice or the broker brought
 )
 
 // Host is what intake acts through.
@@ -188,6 +190,9 @@
 			next = k
 		}
 	}
+	if i.leaving { // nothing is dialled any more
+		return
+	}
 	i.host.Log("broker %d lost: %s; broker %d is next, in %v", i.at+1, why, next+1, max(i.brokers[next].after-now, 0).Round(time.Millisecond))
 	i.at, i.dialAt = next, max(i.brokers[next].after, now)
 	i.settle(now)
@@ -309,7 +314,7 @@
 	case i.crowded:
 		return "items short"
 	case now < i.until:
-		return "turned back or not taken"
+		return advised
 	}
 	return ""
 }
@@ -331,7 +336,7 @@
 		if stop != "" {
 			i.phase, i.pausedAt = paused, now
 			i.host.Pause()
-			if stop != "turned back or not taken" { // that one comes and goes with each peak of load
+			if stop != advised { // that one comes and goes with each peak of load
 				i.host.Log("pauses: %s", stop)
 			}
 		} else if i.credit != i.inForce && now-i.changed >= changeGap {
--- a/internal/front/amqp/front.go
+++ b/internal/front/amqp/front.go
@@ -37,8 +37,8 @@
 	After(wait time.Duration, what func()) // on the loop, later
 }
 
-// Counts are of messages since the start, each read counted once more by how it ended.
-type Counts struct {
+// counts are of messages since the start, each read counted once more by how it ended; told at the end.
+type counts struct {
 	Read, Fulfilled, TurnedBack, Scrapped, DeadLettered, Unreadable, Unsent, CallerGone, RepliesLost uint64
 }
 
@@ -65,7 +65,7 @@
 	late    []*message // came straight back to this instance that leaves: given back once nothing more can come
 	drained bool       // the consumers are cancelled and have brought their last
 	left    bool       // the closing has been ordered
-	counts  Counts
+	counts  counts
 }
 
 // message is one that was read and is not settled.
@@ -77,9 +77,8 @@
 	until    time.Time // its own patience; zero: none told
 	fate     intake.Fate
 	comeBack time.Duration
-	sent     uint64 // number of the publish that its settling waits for
-	reply    bool   // that is a reply to its caller
-	lost     bool   // that reached no queue
+	reply    bool // that is a reply to its caller
+	lost     bool // that reached no queue
 }
 
 // New makes the front of what the operator set; kind tells that of a band. It connects once the instance can work.
@@ -93,9 +92,6 @@
 
 func (f *Front) time() time.Duration { return time.Since(f.start) }
 
-// Counts tells how many messages there were.
-func (f *Front) Counts() Counts { return f.counts }
-
 // Idle is for callers' connections; a broker's stays.
 func (f *Front) Idle(time.Duration) {}
 
@@ -143,6 +139,9 @@
 	f.open, f.late = nil, nil
 	clear(f.waits)
 	f.door.Gone(s)
+	if f.leaving {
+		f.Log("left: %+v", f.counts)
+	}
 }
 
 // Consume takes messages with that credit; Pause takes none.
@@ -173,14 +172,11 @@
 
 // take is what happened on a session.
 func (f *Front) take(s *session, events []event) {
-	if f.now != s {
-		return // of one that was given up; the broker hands out again what came on it
-	}
 	now := f.time()
 	for n := range events {
 		e := &events[n]
 		if f.now != s {
-			return
+			return // it was given up; the broker hands out again what came on it
 		}
 		switch e.what {
 		case delivered:
@@ -208,11 +204,8 @@
 			f.in.Blocked(now, e.good)
 		case cancelled:
 			f.in.Cancelled(now)
-		case publishLost: // nothing tells which of them the broker took
+		case publishLost: // what it held is told as not confirmed
 			f.log.Error("amqp: publishing refused", zap.Error(e.err))
-			for number := range f.waits {
-				f.confirmed(number, false)
-			}
 		case closed:
 			f.apart(s)
 			why := "closed"
@@ -323,10 +316,9 @@
 
 func (f *Front) publish(m *message, exchange, key string, p amqp.Publishing) {
 	f.number++
-	m.sent = f.number
-	f.waits[m.sent] = m
+	f.waits[f.number] = m
 	f.in.Asked(f.time())
-	f.now.put(publish(m.sent, exchange, key, p))
+	f.now.put(publish(f.number, exchange, key, p))
 }
 
 // confirmed: the broker has what was published, or has refused it.
--- a/internal/front/amqp/session.go
+++ b/internal/front/amqp/session.go
@@ -1,6 +1,6 @@
 // A session is one connection to a broker: this file owns its goroutines, which alone may wait for it. What comes is
 // gathered and handed to the loop in batches; what the loop wants is put into a queue that never fills, as each
-// unsettled message has at most one order in it. Delivery tags and publish numbers belong to the session: an order of
+// unsettled message has at most two orders in it. Delivery tags and publish numbers belong to the session: an order of
 // one that is over goes nowhere. It must never decide, nor touch anything of the loop's.
 
 package amqp
@@ -52,13 +52,14 @@
 	pausing
 	blocked
 	cancelled
-	publishLost // the channel that publishes was closed by the broker, and is open again
+	publishLost // the broker closed the channel that publishes; it is opened again
 	closed
 )
 
 type session struct {
 	told     *operator.AMQP
 	name     string
+	bound    int            // messages that may be unsettled
 	hand     func(f func()) // on to the loop
 	taken    func([]event)  // on the loop
 	answered func(*session, string, node.Answer)
@@ -87,9 +88,9 @@
 // open starts one; bound is how many messages may be unsettled at a time.
 func open(told *operator.AMQP, name, address string, bound int, hand func(func()), taken func([]event),
 	answered func(*session, string, node.Answer)) *session {
-	s := &session{told: told, name: name, hand: hand, taken: taken, answered: answered, orders: make(chan order, 2*bound+64), steps: make(chan order, 64),
+	s := &session{told: told, name: name, bound: bound, hand: hand, taken: taken, answered: answered, orders: make(chan order, 2*bound+64), steps: make(chan order, 64),
 		over: make(chan struct{}), numbers: map[uint64]uint64{}}
-	go s.live(address, bound)
+	go s.live(address)
 	return s
 }
 
@@ -128,8 +129,8 @@
 	}
 }
 
-func (s *session) live(address string, bound int) {
-	far, err := s.connect(address, bound)
+func (s *session) live(address string) {
+	far, err := s.connect(address)
 	if err == nil {
 		s.tell(event{what: standing})
 		go func() { // whatever the session's goroutine stands at
@@ -147,7 +148,7 @@
 }
 
 // connect brings it up: connection, channels, and all names that it will need.
-func (s *session) connect(address string, bound int) (intake.Far, error) {
+func (s *session) connect(address string) (intake.Far, error) {
 	raw, err := net.DialTimeout("tcp", address, dialFor)
 	if err != nil {
 		return intake.Unreached, err
@@ -176,7 +177,7 @@
 		err = s.check()
 	}
 	if err == nil {
-		err = s.publisher(bound)
+		err = s.publisher()
 	}
 	if err != nil {
 		return farOf(err), err
@@ -216,7 +217,7 @@
 
 // publisher opens the channel that publishes. Its lists of notices hold as many as can be out, so that the library
 // never waits for this session while this one waits for the library.
-func (s *session) publisher(bound int) (err error) {
+func (s *session) publisher() (err error) {
 	if s.out, err = s.conn.Channel(); err != nil {
 		return err
 	}
@@ -224,8 +225,8 @@
 		return err
 	}
 	s.published, s.numbers = 0, map[uint64]uint64{}
-	s.confirms = s.out.NotifyPublish(make(chan amqp.Confirmation, 2*bound+64))
-	s.returns = s.out.NotifyReturn(make(chan amqp.Return, 2*bound+64))
+	s.confirms = s.out.NotifyPublish(make(chan amqp.Confirmation, cap(s.orders)))
+	s.returns = s.out.NotifyReturn(make(chan amqp.Return, cap(s.orders)))
 	s.lost = s.out.NotifyClose(make(chan *amqp.Error, 1))
 	return nil
 }
@@ -270,13 +271,21 @@
 			if s.conn.IsClosed() {
 				return broken(e)
 			}
-			if err := s.publisher(cap(s.orders) / 2); err != nil {
+			s.tell(event{what: publishLost, err: broken(e)})
+			for n := len(s.confirms); n > 0; n-- { // what was confirmed before it was closed
+				if c, ok := <-s.confirms; ok {
+					s.confirmed(c)
+				}
+			}
+			for _, number := range s.numbers { // nothing tells which of the rest the broker took
+				s.tell(event{what: confirmed, number: number})
+			}
+			if err := s.publisher(); err != nil {
 				return err
 			}
-			s.tell(event{what: publishLost, err: broken(e)})
-		case tag, ok := <-cancels:
+		case _, ok := <-cancels:
 			if ok {
-				s.tell(event{what: cancelled, err: errors.New(tag)})
+				s.tell(event{what: cancelled})
 			} else {
 				cancels = nil
 			}
@@ -297,15 +306,7 @@
 				s.confirms = nil
 				continue
 			}
-			for n := len(s.returns); n > 0; n-- { // a return comes before its confirm, but select takes either first
-				if r, ok := <-s.returns; ok {
-					s.unrouted(r)
-				}
-			}
-			if number, ok := s.numbers[c.DeliveryTag]; ok {
-				delete(s.numbers, c.DeliveryTag)
-				s.tell(event{what: confirmed, number: number, good: c.Ack})
-			}
+			s.confirmed(c)
 		case o := <-s.orders:
 			if err := s.carry(o); err != nil {
 				return err
@@ -326,6 +327,19 @@
 	}
 }
 
+// confirmed: a return comes before its confirm, but select takes either first.
+func (s *session) confirmed(c amqp.Confirmation) {
+	for n := len(s.returns); n > 0; n-- {
+		if r, ok := <-s.returns; ok {
+			s.unrouted(r)
+		}
+	}
+	if number, ok := s.numbers[c.DeliveryTag]; ok {
+		delete(s.numbers, c.DeliveryTag)
+		s.tell(event{what: confirmed, number: number, good: c.Ack})
+	}
+}
+
 func (s *session) unrouted(r amqp.Return) {
 	if n, ok := r.Headers[numberField].(int64); ok {
 		s.tell(event{what: unrouted, number: uint64(n)})
--- a/internal/lab/amqp.go
+++ b/internal/lab/amqp.go
@@ -82,10 +82,8 @@
 		return nil, err
 	}
 	r := &amqpRig{b: b, start: time.Now(), book: verdict.New(Window), marks: map[string]verdict.How{}, ended: map[string]bool{}}
-	for _, err := range []error{b.Declare("readings", nil), b.Declare("dead", nil), b.Exchange("given-up", "fanout"), b.Bind("dead", "given-up", "")} {
-		if err != nil {
-			return nil, err
-		}
+	if err := b.Depot("given-up", nil); err != nil {
+		return nil, err
 	}
 	b.Watch(r.event)
 	r.address, err = b.Start("127.0.0.1:0")
@@ -125,6 +123,7 @@
 			r.book.Answered(at, try, verdict.Gone)
 		}
 		delete(r.ended, try)
+		delete(r.marks, e.Peer+e.ID) // the copy went out, and the message will come again
 	}
 }
 
@@ -155,8 +154,8 @@
 			f()
 		}
 	}
-	settings := r.settings(folder)
-	if err = os.WriteFile(settings, fmt.Appendf(nil, settingsFile, attributes, r.address), 0o600); err != nil {
+	settings, err := r.write(folder, attributes)
+	if err != nil {
 		return instances, runtimes, end, err
 	}
 	for n := range instances {
@@ -175,12 +174,16 @@
 
 func (r *amqpRig) settings(folder string) string { return filepath.Join(folder, "amqp.xml") }
 
+// write puts the operator's file down.
+func (r *amqpRig) write(folder, attributes string) (path string, err error) {
+	path = r.settings(folder)
+	return path, os.WriteFile(path, fmt.Appendf(nil, settingsFile, attributes, r.address), 0o600)
+}
+
 // put publishes the nth message; every other one is an excursion.
-func (r *amqpRig) put(n int) {
-	band := Trace
-	if n%2 == 0 {
-		band = Excursion
-	}
+func (r *amqpRig) put(n int) { r.publish([]string{Excursion, Trace}[n%2], n) }
+
+func (r *amqpRig) publish(band string, n int) {
 	id := fmt.Sprintf("m%d", n)
 	r.b.Publish("", "readings", broker.Props{broker.Type: band, broker.MessageID: id, broker.Headers: broker.Table{"customer": "acme"}}, []byte(id))
 }
@@ -364,6 +367,7 @@
 // amqpCost has one instance do the same work by either front, in turns.
 func amqpCost(r *Report, program, folder string, seed uint64, size int, progress func(string)) error {
 	var cpu, span [2]time.Duration
+	size -= size % rpcConns // both do as many
 	for round := range 4 {
 		front := round % 2
 		progress(fmt.Sprintf("cost, round %d: %s", round+1, []string{"amqp", "json-rpc"}[front]))
@@ -397,8 +401,7 @@
 	defer rt.Close()
 	settings := ""
 	if front == 0 {
-		settings = filepath.Join(folder, "cost.xml")
-		if err := os.WriteFile(settings, fmt.Appendf(nil, settingsFile, fmt.Sprintf(` least-credit="%d"`, rpcConns*rpcOpen), rig.address), 0o600); err != nil {
+		if settings, err = rig.write(folder, fmt.Sprintf(` least-credit="%d"`, rpcConns*rpcOpen)); err != nil {
 			return 0, 0, err
 		}
 	}
@@ -412,8 +415,7 @@
 	}
 	give := func(n int) {
 		for k := range n {
-			id := fmt.Sprintf("m%d", k)
-			rig.b.Publish("", "readings", broker.Props{broker.Type: Trace, broker.MessageID: id, broker.Headers: broker.Table{"customer": "acme"}}, []byte(id))
+			rig.publish(Trace, k)
 		}
 		rig.b.Wait("readings", func(s broker.State) bool { return s.Ready+s.Out == 0 })
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -431,10 +431,10 @@
 	}
 	n.lastRead = n.now
 	r := n.receipts[it.key]
-	same := r != nil && r.body == n.digest(ask.Body)
+	same := func() bool { return r != nil && r.body == n.digest(ask.Body) }
 	switch window := n.span("band." + strconv.Itoa(it.band) + ".window_s"); {
 	case it.key != "" && r != nil && n.now-work.Waited <= r.end:
-		if kind == "receipted" && !same { // not the same request: it must not get that one's result
+		if kind == "receipted" && !same() { // not the same request: it must not get that one's result
 			it.why = Conflict
 			n.answer(w, Answer{Kind: Scrapped})
 			n.Release(w)
@@ -445,7 +445,7 @@
 		kind == "receipted" && ask.Again && n.before && n.now-work.Waited < n.first+window:
 		// Another instance or the life before this one may have run an earlier try, and nothing of it is known here.
 		work.Forerunner, it.why = policy.GoneForerunner, MayHaveRun
-		if !same { // an entry past its window that still stands is this request's, or is not for it
+		if !same() { // an entry past its window that still stands is this request's, or is not for it
 			it.key = ""
 		}
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -77,6 +77,14 @@
 	n.Round()
 }
 
+// again reads a work item that may have run elsewhere.
+func (n *Instance) again(s Asker, rid, band, receipt, body string) {
+	if err := n.Arrive(s, rid, Ask{Rid: rid, Band: band, Receipt: receipt, KB: 1, Elsewhere: true, Came: time.Now(), Body: []byte(body)}); err != nil {
+		panic(err)
+	}
+	n.Round()
+}
+
 // A machine that stands still owes its readings and is silent: that is no load, and the module must hear of it.
 func TestSilentMachineDefersTheTick(t *testing.T) {
 	n, s := up(nil)
@@ -278,23 +286,17 @@
 // A message that a broker hands out again may have run at another instance, or here before a cold start.
 func TestWhatMayHaveRunElsewhereIsNotRunUnlessItsKeyIsKnown(t *testing.T) {
 	n, s := up(nil)
-	again := func(rid, band, receipt string) {
-		if err := n.Arrive(s, rid, Ask{Rid: rid, Band: band, Receipt: receipt, KB: 1, Elsewhere: true, Came: time.Now(), Body: []byte("x")}); err != nil {
-			t.Fatal(err)
-		}
-		n.Round()
-	}
-	again("a", "receipted", "key")
-	again("b", "effectful", "")
+	n.again(s, "a", "receipted", "key", "x")
+	n.again(s, "b", "effectful", "", "x")
 	s.wants(t, 1, "answer a 2")
 	s.wants(t, 1, "answer b 2")
 	s.wants(t, 0, "start")
-	again("c", "pure", "")
+	n.again(s, "c", "pure", "", "x")
 	s.wants(t, 1, "start c")
 	n.ask(s, "d", "receipted", "key", 0)
 	n.End("d", policy.OK, 0, []byte("kept"))
 	n.Round()
-	again("e", "receipted", "key")
+	n.again(s, "e", "receipted", "key", "x")
 	s.wants(t, 1, "answer e 0 kept")
 }
 
@@ -305,19 +307,13 @@
 	n.ask(s, "a", "receipted", "key", 0)
 	n.End("a", policy.OK, 0, []byte("kept"))
 	n.Round()
-	again := func(rid, body string) {
-		if err := n.Arrive(s, rid, Ask{Rid: rid, Band: "receipted", Receipt: "key", KB: 1, Elsewhere: true, Came: time.Now(), Body: []byte(body)}); err != nil {
-			t.Fatal(err)
-		}
-		n.Round()
-	}
 	n.receipts["receipted key"].end = n.now - time.Millisecond
-	again("b", "x")
+	n.again(s, "b", "receipted", "key", "x")
 	s.wants(t, 1, "answer b 0 kept")
-	again("c", "another")
+	n.again(s, "c", "receipted", "key", "another")
 	s.wants(t, 1, "answer c 2")
 	n.discard("receipted key")
-	again("d", "x")
+	n.again(s, "d", "receipted", "key", "x")
 	s.wants(t, 1, "answer d 2")
 	s.wants(t, 1, "start")
 }
--- a/internal/stand/broker/broker.go
+++ b/internal/stand/broker/broker.go
@@ -5,9 +5,10 @@
 package broker
 
 import (
+	"errors"
 	"fmt"
+	"maps"
 	"slices"
-	"sort"
 	"sync"
 	"time"
 )
@@ -97,6 +98,7 @@
 	changed   *sync.Cond
 	script    script
 	queues    map[string]*queue
+	order     []*queue                       // as declared: a map's order is chance
 	exchanges map[string]map[string][]string // kind under "", else queues by key
 	kinds     map[string]string
 	conns     map[*conn]struct{}
@@ -110,7 +112,7 @@
 	door      *door
 	Heartbeat uint16 // seconds, offered; set before Start
 	FrameMax  uint32
-	Again     int // how often each message is handed out again though it was acked; set before Start
+	Again     int // how often each message is handed out again though it was acked; set before the first peer
 }
 
 // New makes one that commits these faults. Nothing listens yet.
@@ -178,6 +180,7 @@
 			return fmt.Errorf("over %d queues", mostNames)
 		}
 		b.queues[name] = &queue{name: name, args: args}
+		b.order = append(b.order, b.queues[name])
 	}
 	return nil
 }
@@ -199,6 +202,12 @@
 	return nil
 }
 
+// Depot makes what the rigs consume from: the queue readings, and a fanout exchange for what is given up, led to the
+// queue dead.
+func (b *Broker) Depot(exchange string, args Table) error {
+	return errors.Join(b.Declare("readings", args), b.Declare("dead", nil), b.Exchange(exchange, "fanout"), b.Bind("dead", exchange, ""))
+}
+
 // Bind leads what comes to the exchange under the key on to the queue.
 func (b *Broker) Bind(queue, exchange, key string) error {
 	b.mu.Lock()
@@ -253,7 +262,7 @@
 
 // pump delivers what can be.
 func (b *Broker) pump() {
-	for _, q := range b.queues {
+	for _, q := range b.order {
 		for q.len() > 0 && b.deliver(q) {
 		}
 	}
@@ -431,12 +440,7 @@
 
 // back puts all that a channel has out into its queues again.
 func (b *Broker) back(ch *channel) {
-	var tags []uint64
-	for t := range ch.out {
-		tags = append(tags, t)
-	}
-	sort.Slice(tags, func(i, j int) bool { return tags[i] > tags[j] })
-	for _, t := range tags {
+	for _, t := range slices.Backward(slices.Sorted(maps.Keys(ch.out))) {
 		b.end(ch, t, "gone")
 	}
 }
@@ -470,8 +474,13 @@
 	c.more.Broadcast()
 }
 
+// peers are the connections, the oldest first.
+func (b *Broker) peers() []*conn {
+	return slices.SortedFunc(maps.Keys(b.conns), func(x, y *conn) int { return x.number - y.number })
+}
+
 func (b *Broker) restart() {
-	for c := range b.conns {
+	for _, c := range b.peers() {
 		b.drop(c, "")
 	}
 }
@@ -490,16 +499,13 @@
 func (b *Broker) CutPeer(name string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var newest *conn
-	for c := range b.conns {
-		if (name == "" || c.name == name) && (newest == nil || c.number > newest.number) {
-			newest = c
+	for _, c := range slices.Backward(b.peers()) {
+		if name == "" || c.name == name {
+			b.drop(c, "")
+			b.pump()
+			return
 		}
 	}
-	if newest != nil {
-		b.drop(newest, "")
-		b.pump()
-	}
 }
 
 // Release sends the confirms that were held back, and what was blocked goes on.
@@ -511,7 +517,7 @@
 	for _, f := range late {
 		f()
 	}
-	for c := range b.conns {
+	for _, c := range b.peers() {
 		if c.deaf = false; c.open {
 			c.send(0, "connection.unblocked")
 		}
