--- a/cmd/thymechute/amqp_test.go
+++ b/cmd/thymechute/amqp_test.go
@@ -416,6 +416,9 @@
 	f.seen("requeued", 1)
 	f.dead("m", "unknown band")
 	f.last(1)
+	if requeued, lost := f.b.Counted("requeued"), f.b.Counted("lost"); requeued != 2 || lost != 0 {
+		t.Errorf("%d given back, %d connections lost: a closed channel must cost its publishes only", requeued, lost)
+	}
 }
 
 func TestLeaveSettlesAllAndClosesInOrder(t *testing.T) {
