--- a/internal/aid/aid.go
+++ b/internal/aid/aid.go
@@ -225,7 +225,7 @@
 			return
 		}
 		built.path = filepath.Join(dir, "thymechute")
-		args := append(strings.Fields("build -o "+built.path), strings.Fields(os.Getenv("THYMECHUTE_BUILD"))...)
+		args := append(strings.Fields("build -ldflags=-linkmode=external -o "+built.path), strings.Fields(os.Getenv("THYMECHUTE_BUILD"))...)
 		if out, err := exec.Command("go", append(args, "thymechute/cmd/thymechute")...).CombinedOutput(); err != nil {
 			built.err = fmt.Errorf("%v: %s", err, out)
 		}
--- a/test.sh
+++ b/test.sh
@@ -1,10 +1,12 @@
 #!/bin/sh
-# gofmt, vet, build and tests; needs Go and nothing else.
+# gofmt, vet, build and tests; needs Go, and a C compiler to link against the C library.
 set -eu
 cd "$(dirname "$0")"
 unformatted=$(gofmt -l cmd internal policy)
 [ -z "$unformatted" ] || { echo "gofmt: $unformatted" >&2; exit 1; }
 go vet ./...
 mkdir -p bin
-go build -o bin/ ./cmd/...
+export CGO_ENABLED=1
+go build -ldflags=-linkmode=external -o bin/ ./cmd/... # as deploy/balancer.toml builds
+ldd bin/thymechute | grep -q 'libc\.' || { echo "bin/thymechute: not linked against the C library" >&2; exit 1; }
 go test -count=1 -timeout 120s ./...
