Idle connections follow the intake in hand; what is answered leaves the cores under suspend

Checked by probe and tap: the sockets gauge stands at 69 from second 5 on, also 8 s after IDLE fell to 3 s, so a connection keeps the time under which it fell idle. At fault: doors() held the busy server's table for the callers' whole 30 s. Now what wants a core beside the runs (runnable less runs) moves the time, slowly.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -14,18 +14,19 @@
 )
 
 const (
-	ms         = time.Millisecond
-	sweepGap   = 20 * ms  // between two Ticks
-	period     = 500 * ms // between two samples of lag
-	duePart    = 0.4      // of the bands' due times, in base latencies: lag over it is a crossing
-	everywhere = 0.05     // share turned back over which other servers are taken to be no better off
-	baseDrift  = 0.003    // a base latency's way back to the recent one, a period
-	dampening  = 2        // crossings in a row before the flag goes up
-	shedGain   = 0.3      // part of the share turned back that the free value takes over a period
-	margin     = 40 * ms  // answers leave so long before they are due
-	stall      = 100 * ms // a Tick so late tells of a standstill
-	leastIdle  = 0.1      // part of the callers' own time after which idle connections may close
-	shareSlack = 8.0      // items of one customer that may come at once, where two seconds' share is less
+	ms                   = time.Millisecond
+	sweepGap             = 20 * ms    // between two Ticks
+	period               = 500 * ms   // between two samples of lag
+	duePart              = 0.4        // of the bands' due times, in base latencies: lag over it is a crossing
+	everywhere           = 0.05       // share turned back over which other servers are taken to be no better off
+	baseDrift            = 0.003      // a base latency's way back to the recent one, a period
+	dampening            = 2          // crossings in a row before the flag goes up
+	shedGain             = 0.3        // part of the share turned back that the free value takes over a period
+	margin               = 40 * ms    // answers leave so long before they are due
+	stall                = 100 * ms   // a Tick so late tells of a standstill
+	leastIdle, firstIdle = 0.1, 0.25  // part of the callers' own time after which idle connections close
+	intakePart, doorGain = 0.25, 0.05 // connections and reads in hand a core, aimed at; most change a period
+	shareSlack           = 8.0        // items of one customer that may come at once, where two seconds' share is less
 
 	shedDown, shedEase, shedMost    = 0.1, 0.03, 0.95 // free value: down a calm period, a light one; most
 	busyRoom, busyFull              = 0.9, 0.97       // cores so busy let one more run, one fewer
@@ -89,10 +90,11 @@
 	callShare, callUse, callTook  float64    // calls out in the mean, the part in use, their recent time
 	overCalled, sends             float64    // call-seconds used beyond the share; reads a period, lately
 	sum, count                    [2]float64 // latency ratios of ended starts: this period's, the last's
-	busy, unread, turnedShare     float64    // lately: cores' share, seconds unread, share of the read
+	unread, turnedShare           float64    // lately: seconds unread, share of the read
 	read, turned, missed          int        // in this period, as done (runs) and
 	done, waited                  int        // waited (Ticks that found work waiting for a start)
 	lag, limit, shed, said        float64    // limit: the threshold of lag
+	open, intake, ticks           float64    // idle time, as a part; this period's sum of what wants a core beside runs
 	flag, jammed                  bool
 	nextTrial, nextSample, wanted time.Duration
 	metered, grace, stopAt, idle  time.Duration
@@ -101,7 +103,7 @@
 // New makes the instance of a server that has just started.
 func New(h Host, seed uint64, told map[string]any) *Instance {
 	i := &Instance{host: h, told: told, chance: seed&0xffffffff | 1<<32, stopAt: math.MaxInt64, callUse: 1,
-		grace: math.MaxInt64, nextSample: period, wanted: sweepGap}
+		grace: math.MaxInt64, nextSample: period, wanted: sweepGap, open: firstIdle}
 	i.cores = int(min(max(i.num("cores", 1), 1), 4096))
 	i.width, i.ram = float64(i.cores), max(i.num("memory_kb", 1e6), 1)
 	switch i.callShare = 1e6; i.told["below"] {
@@ -549,9 +551,14 @@
 	i.halt(it, w)
 }
 
+// stops tells whether a run can be taken off the cores; of what is answered it is the end either way.
+func (i *Instance) stops() bool {
+	return i.told["stop_mode"] == "abort" || i.told["stop_mode"] == "suspend"
+}
+
 func (i *Instance) halt(it *item, w int) {
 	i.standing = without(i.standing, w)
-	if it.state == running && i.told["stop_mode"] == "abort" {
+	if it.state == running && i.stops() {
 		i.host.Stop(w)
 	}
 }
@@ -606,10 +613,14 @@
 		case it.state == joined && late:
 			i.host.Scrap(w)
 			i.drop(w)
-		case it.state != joined && (late || worthless && i.told["stop_mode"] == "abort"):
+		case it.state != joined && (late || worthless && i.stops()):
 			i.scrap(now, w)
 		}
 	}
+	if g.Runnable >= 0 {
+		i.intake += max(g.Runnable-float64(i.onCores), 0)
+		i.ticks++
+	}
 	if g.Runnable >= 0 && g.Runnable-float64(i.onCores) < float64(i.cores) {
 		i.unread *= jamFade // a core is free to read, so nothing waits unread
 	}
@@ -655,7 +666,7 @@
 			i.flag, i.lag, len(i.held), i.onCores, i.width, i.shed)
 	}
 	i.adjust()
-	i.doors(g)
+	i.doors()
 	// What lies below is crowded long before it dies: slow calls use less of it, so that more of them end.
 	if i.callUse = min(i.callUse+callsUp, 1); i.slowBelow() {
 		i.callUse = max(i.callUse*callsDown, leastCalls)
@@ -684,19 +695,22 @@
 	i.shed = min(max(i.shed, 0), shedMost)
 }
 
-// doors lets idle connections go sooner the more room the cores have. A full table shuts out callers, new
-// connections cost work: a busy server is spared by its full table, one with room must not be shut by it.
-func (i *Instance) doors(g Gauges) {
+// doors moves the time after which idle connections close. A full table shuts callers out whatever they bring, new
+// connections take the cores from the runs: what wants a core beside the runs tells whether more may come. The
+// change is slow, as a connection keeps the time under which it fell idle, and a table let go at once fills at once.
+func (i *Instance) doors() {
 	whole := i.span("idle_s", 0)
-	if g.Busy < 0 || whole <= 0 {
+	if i.ticks == 0 || whole <= 0 {
 		return
 	}
-	learn(&i.busy, g.Busy, 3)
-	part := min(max(i.busy*i.busy, leastIdle), 1)
+	spare := min(max(1-i.intake/i.ticks/(intakePart*float64(i.cores)), -1), 1)
+	i.open = min(max(i.open*(1-doorGain*spare), leastIdle), 1)
+	i.intake, i.ticks = 0, 0
+	part := i.open
 	if learn(&i.sends, float64(i.read), 15); i.sends*whole.Seconds() > i.num("callers", 0)*period.Seconds() {
 		part = 1 // a caller mostly comes again before its connection would close: closing it gains nothing
 	}
-	if after := time.Duration(part * float64(whole)).Round(whole / 30); after != i.idle {
+	if after := time.Duration(part * float64(whole)).Round(100 * ms); after != i.idle {
 		i.idle = after
 		i.host.Idle(after)
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -496,19 +496,27 @@
 	b.Wants(t, 1, "scrap 0")
 }
 
-func TestIdleConnectionsGoSoonerWhereTheCoresHaveRoom(t *testing.T) {
+func TestIdleConnectionsGoSoonerWhileNoIntakeCrowdsTheRuns(t *testing.T) {
 	i, b := fresh(map[string]any{"idle_s": 30.0, "callers": 1000.0})
-	i.busy = 0.5
-	i.doors(Gauges{Busy: 0.5})
-	b.Wants(t, 1, "idle 8s")
-	i.busy, i.read = 1, 0
-	i.doors(Gauges{Busy: 1})
+	i.doors() // no gauge, no change
+	b.Wants(t, 0, "idle")
+	i.ticks, i.intake = 25, 0
+	i.doors()
+	b.Wants(t, 1, "idle 7.1s")
+	i.ticks, i.intake = 25, 25*2 // on two cores four times what is aimed at
+	i.doors()
+	b.Wants(t, 1, "idle 7.5s")
+	i.ticks, i.sends = 25, 100 // callers come again before their connections would close
+	i.doors()
 	b.Wants(t, 1, "idle 30s")
-	i.doors(Gauges{Busy: -1})
-	b.Wants(t, 2, "idle")
-	i.busy, i.sends = 0.5, 100
-	i.doors(Gauges{Busy: 0.5})
-	b.Wants(t, 2, "idle")
+}
+
+func TestAnsweredRunLeavesTheCoresWhereAStopSuspends(t *testing.T) {
+	i, b := fresh(map[string]any{"stop_mode": "suspend"})
+	busy(i, 0, 0)
+	i.Tick(990*ms, Gauges{Busy: -1}) // past use, before its due time
+	b.Wants(t, 1, "scrap 0")
+	b.Wants(t, 1, "stop 0")
 }
 
 func TestShareUnderOneItemInTwoSecondsCanBeMet(t *testing.T) {
