--- a/internal/told/told.go
+++ b/internal/told/told.go
@@ -120,7 +120,7 @@
 	"domain.entry_kb": "receipt_kb", "domain.fresh_s": "fresh_s", "domain.halt": "stop_mode",
 	"domain.say": "free_value", "domain.cold": "cold", "domain.clients_total": "callers",
 	"domain.caller_idle_s": "idle_s", "domain.depends_on": "below", "domain.dep_share": "calls_share",
-	"domain.linger_s": "calls_linger_s", "domain.dep_window_s": "calls_window_s",
+	"domain.readiness": "list_follows", "domain.said_for_s": "said_for_s", "domain.linger_s": "calls_linger_s", "domain.dep_window_s": "calls_window_s",
 	"fleet_size": "fleet", "over_share_worth": "over_share_payoff", "worth_by": "payoff_by",
 	"policy_limits.max_retry_after_s": "come_back_s", "policy_limits.retry_after": "come_back",
 	"rules.cold_from": "cold_from", "rules.warm_after_s": "warm_s", "rules.drain_grace_s": "grace_s",
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,6 +26,7 @@
 	stall                = 100 * ms   // a Tick so late tells of a standstill
 	leastIdle, firstIdle = 0.1, 0.25  // part of the callers' own time after which idle connections close
 	intakePart, doorGain = 0.25, 0.05 // connections and reads in hand a core, aimed at; most change a period
+	repeatsElse          = 0.2        // share of marked repeats over which other servers are taken to be no better off
 	shareSlack           = 8.0        // items of one customer that may come at once, where two seconds' share is less
 
 	shedDown, shedEase, shedMost    = 0.1, 0.03, 0.95 // free value: down a calm period, a light one; most
@@ -90,12 +91,12 @@
 	callShare, callUse, callTook  float64    // calls out in the mean, the part in use, their recent time
 	overCalled, sends             float64    // call-seconds used beyond the share; reads a period, lately
 	sum, count                    [2]float64 // latency ratios of ended starts: this period's, the last's
-	unread, turnedShare           float64    // lately: seconds unread, share of the read
-	read, turned, missed          int        // in this period, as done (runs) and
+	unread, turnedShare, repeats  float64    // lately: seconds unread, share of the read, of marked repeats
+	read, marked, turned, missed  int        // in this period, as done (runs) and
 	done, waited                  int        // waited (Ticks that found work waiting for a start)
 	lag, limit, shed, said        float64    // limit: the threshold of lag
 	open, intake, ticks           float64    // idle time, as a part; this period's sum of what wants a core beside runs
-	flag, jammed                  bool
+	flag, jammed, unfit           bool
 	nextTrial, nextSample, wanted time.Duration
 	metered, grace, stopAt, idle  time.Duration
 }
@@ -154,6 +155,9 @@
 	*it = item{Work: work, state: held, arrived: now - work.Waited}
 	i.memory += work.KB
 	i.read++
+	if work.Repeat {
+		i.marked++
+	}
 	if work.Band < 0 || work.Band >= len(i.bands) {
 		i.turnBack(now, w, true)
 		return
@@ -277,7 +281,7 @@
 	it, b := &i.items[w], &i.bands[i.items[w].Band]
 	payoff, run := b.payoff, b.latency // run: what it likely needs, and whole with its calls
 	if it.Hint > 0 && b.perHint > 0 {
-		run = it.Hint.Seconds() * b.perHint
+		run = math.Sqrt(it.Hint.Seconds() * b.perHint * b.latency)
 	}
 	whole := run + max(b.span-b.latency, 0)
 	if it.Repeat {
@@ -292,7 +296,7 @@
 		if (it.due - margin - now).Seconds() > whole {
 			chance = max(chance, b.late)
 		}
-		if 2*i.onCores < i.cores && it.use > now {
+		if (2*i.onCores < i.cores || i.onCores < i.cores && !i.flag) && it.use > now {
 			chance = max(chance, idleTry) // guesses mislead, and trying costs an idle server nothing
 		}
 		payoff *= chance
@@ -677,9 +681,10 @@
 		i.width = max(i.width-1, float64(i.cores))
 	}
 	if i.read > 0 {
+		learn(&i.repeats, float64(i.marked)/float64(i.read), 3)
 		learn(&i.turnedShare, float64(i.turned)/float64(max(i.read, i.turned)), 3)
 	}
-	i.read, i.turned, i.missed, i.done, i.waited = 0, 0, 0, 0, 0
+	i.read, i.marked, i.turned, i.missed, i.done, i.waited = 0, 0, 0, 0, 0, 0
 }
 
 // adjust moves the share of work, by rank, that callers should keep at home.
@@ -727,6 +732,10 @@
 		i.jammed = full
 		i.host.Log("jam %v: %.2f s unread", full, i.unread)
 	}
+	if jam := i.jam(); i.told["list_follows"] == true && now < i.grace-period && (i.unfit && jam == 0 || !i.unfit && jam > jamTold && i.repeats < repeatsElse) {
+		i.unfit = !i.unfit
+		i.host.Health(!i.unfit, true)
+	}
 	value := max(i.shed, i.jam())
 	if now > i.grace-period {
 		value = 1 // until then it serves what comes
