--- a/policy/policy.go
+++ b/policy/policy.go
@@ -199,7 +199,7 @@
 	for full := i.flag && i.waiting() > 0 || i.random() < i.jam(); full || !i.fits(need); full = false {
 		least := slices.MinFunc(append([]int{w}, i.held...), i.byDensity(now, 1))
 		// No other server helps what was elsewhere already, nor where so much is turned back here.
-		i.turnBack(now, least, i.items[least].Repeat || i.turnedShare > everywhere)
+		i.turnBack(now, least, i.items[least].Repeat || i.repeats > repeatsElse)
 		if least == w {
 			return
 		}
@@ -732,7 +732,7 @@
 		i.jammed = full
 		i.host.Log("jam %v: %.2f s unread", full, i.unread)
 	}
-	if jam := i.jam(); i.told["list_follows"] == true && now < i.grace-period && (i.unfit && jam == 0 || !i.unfit && jam > jamTold && i.repeats < repeatsElse) {
+	if jam := i.jam(); i.told["list_follows"] == true && now < i.grace-period && (i.unfit && jam == 0 || !i.unfit && jam > 0 && i.repeats < repeatsElse) {
 		i.unfit = !i.unfit
 		i.host.Health(!i.unfit, true)
 	}
