Health is judged each period and dampened; a full jam leaves the list whatever is read

At fault: health in say(), each Tick, and its condition on repeats. Now two periods in a row, as the flag; a full jam counts whatever is read, a lesser one while few are repeats.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -85,7 +85,7 @@
 	lingering []time.Duration // ends of calls given up; emptied by time
 	chance    uint64
 
-	cores, onCores, calls, crossings, fails int
+	cores, onCores, calls, crossings, fails, jams int
 
 	memory, ram, size, width      float64    // size: kilobytes of a held work item, lately; width: how many run
 	callShare, callUse, callTook  float64    // calls out in the mean, the part in use, their recent time
@@ -670,6 +670,7 @@
 			i.flag, i.lag, len(i.held), i.onCores, i.width, i.shed)
 	}
 	i.adjust()
+	i.health(now)
 	i.doors()
 	// What lies below is crowded long before it dies: slow calls use less of it, so that more of them end.
 	if i.callUse = min(i.callUse+callsUp, 1); i.slowBelow() {
@@ -721,6 +722,22 @@
 	}
 }
 
+// health takes a jammed server off the list that every caller reads, where it follows health: who meets this server
+// too seldom to remember what it said still stays away. Dampened like the flag, both ways.
+func (i *Instance) health(now time.Duration) {
+	if i.told["list_follows"] != true || now > i.grace-period {
+		return
+	}
+	jam := i.jam()
+	if i.jams++; (jam == 1 || jam > 0 && (i.unfit || i.repeats < repeatsElse)) == i.unfit {
+		i.jams = 0
+	}
+	if i.jams >= dampening {
+		i.jams, i.unfit = 0, !i.unfit
+		i.host.Health(!i.unfit, true)
+	}
+}
+
 // jam is 0 to 1: how near the wait before reading is to making all answers late and so unheard.
 func (i *Instance) jam() float64 {
 	return min(max((i.unread/i.bands[0].due.Seconds()-jamFrom)/(jamFull-jamFrom), 0), 1)
@@ -732,10 +749,6 @@
 		i.jammed = full
 		i.host.Log("jam %v: %.2f s unread", full, i.unread)
 	}
-	if jam := i.jam(); i.told["list_follows"] == true && now < i.grace-period && (i.unfit && jam == 0 || !i.unfit && jam > 0 && i.repeats < repeatsElse) {
-		i.unfit = !i.unfit
-		i.host.Health(!i.unfit, true)
-	}
 	value := max(i.shed, i.jam())
 	if now > i.grace-period {
 		value = 1 // until then it serves what comes
