A call beyond the whole ones of a told share is cut before its part is used up

Cause: meter() let each instance have one whole call out for as long as its due time (up to 3.9 s) and only spaced the next; when the ledger slows at once for all, 292 calls stand against 143. No crash or lingering call was needed for it. Now a call beyond the whole ones lasts 0.4 of its part of the window at most, steady use is half of the part, a tenth is saved: never over it in any window.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,7 +38,8 @@
 	leastFit, fill                  = 0.8, 0.95       // of its run that must fit; of memory that is used
 	failures, trialGap              = 5, 500 * ms     // calls failed in a row before they stop; between trials
 	callSlow, standPart             = 0.1, 0.15       // of a due time: slow calls; longest optional stand
-	leastCalls, savedCalls          = 0.05, 0.1       // of the share of calls: least used; saved up
+	leastCalls                      = 0.05            // of the share of calls: least used
+	partUse, savedCalls, partCall   = 0.5, 0.1, 0.4   // of a part of a call: steady use; saved up; by one call
 	callsUp, callsDown, leastShare  = 0.1, 0.8, 0.001 // share of calls: grows by a period, is cut to; least told
 )
 
@@ -471,9 +472,14 @@
 		if late || out >= share || out+1 > share && i.overCalled > 0 || down && (i.calls > 0 || now < i.nextTrial) {
 			return
 		}
+		patience := min(it.use, it.due-margin) - now
+		if out+1 > share {
+			window := partCall * min(i.callShare-out, 1) * i.span("calls_window_s", 1).Seconds()
+			patience = min(patience, time.Duration(window*1e9)-i.span("calls_linger_s", 0))
+		}
 		i.standing = without(i.standing, w)
 		it.state, i.calls = calling, i.calls+1
-		i.host.Call(w, max(min(it.use, it.due-margin)-now, 10*ms))
+		i.host.Call(w, max(patience, 10*ms))
 	}
 }
 
@@ -493,12 +499,14 @@
 	}
 }
 
-// meter tells the calls in hand and the share in use, and keeps the call-seconds used beyond the mean of it.
-// Some of a window's share may be saved up, and is kept back from the rest, so that no window holds more.
+// meter tells the calls in hand and the share in use, and keeps the call-seconds that the call beyond the whole ones
+// used over its part. A part's use in any window is at most partUse of steady use, savedCalls saved up and partCall by
+// one call, together all of it: when what lies below slows at once for all servers, each has such a call out.
 func (i *Instance) meter(now time.Duration) (out, share float64) {
 	out, share = float64(i.calls+len(i.lingering)), i.callShare*i.callUse
-	spent := i.overCalled + (out-(1-savedCalls)*share)*(now-i.metered).Seconds()
-	i.overCalled, i.metered = max(spent, -savedCalls*share*i.span("calls_window_s", 1).Seconds()), now
+	whole, part := math.Modf(share)
+	spent := i.overCalled + (max(out-whole, 0)-partUse*part)*(now-i.metered).Seconds()
+	i.overCalled, i.metered = max(spent, -savedCalls*part*i.span("calls_window_s", 1).Seconds()), now
 	return out, share
 }
 
