--- a/policy/policy.go
+++ b/policy/policy.go
@@ -18,7 +18,6 @@
 	sweepGap             = 20 * ms    // between two Ticks
 	period               = 500 * ms   // between two samples of lag
 	duePart              = 0.4        // of the bands' due times, in base latencies: lag over it is a crossing
-	everywhere           = 0.05       // share turned back over which other servers are taken to be no better off
 	baseDrift            = 0.003      // a base latency's way back to the recent one, a period
 	dampening            = 2          // crossings in a row before the flag goes up
 	shedGain             = 0.3        // part of the share turned back that the free value takes over a period
@@ -26,7 +25,7 @@
 	stall                = 100 * ms   // a Tick so late tells of a standstill
 	leastIdle, firstIdle = 0.1, 0.25  // part of the callers' own time after which idle connections close
 	intakePart, doorGain = 0.25, 0.05 // connections and reads in hand a core, aimed at; most change a period
-	repeatsElse          = 0.2        // share of marked repeats over which other servers are taken to be no better off
+	repeatsElse          = 0.1        // share of marked repeats over which other servers are taken to be no better off
 	shareSlack           = 8.0        // items of one customer that may come at once, where two seconds' share is less
 
 	shedDown, shedEase, shedMost    = 0.1, 0.03, 0.95 // free value: down a calm period, a light one; most
