SIGHUP loads new settings into the running instance, both ways, checked as at the start

Until now a file with other settings was named 'not changed while running' (config.Fixed). Now told.Site.Over puts them over those in force: bands and customers keep their indices, new ones come behind, those that left are closed at the door while what is in hand ends under its own figures; node.Retell and policy.Retold put them in force in one round, a receipt keeps the longer of its two windows. told.Fault checks what is read (words, flags, numbers, aim within deadline); a faulty file, or a band that would change its kind, changes nothing and gives one line. Leaving servers no longer say they are fit when a jam ends (health checked the grace only).

--- a/cmd/thymechute/serve.go
+++ b/cmd/thymechute/serve.go
@@ -7,6 +7,7 @@
 	"math"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -74,7 +75,7 @@
 		reports := catalog.New(g.Name, dial("udp", &g.Catalog))
 		fronts := []node.Front{front}
 		if o.AMQP != nil {
-			fronts = append(fronts, amqp.New(inst, timed{l, after}, o.AMQP, g.Name, g.Seed, g.Site.Kind, log))
+			fronts = append(fronts, amqp.New(inst, timed{l, after}, o.AMQP, g.Name, g.Seed, inst.Kind, log))
 		}
 		inst.Connect(cores, calls, reports, fronts...)
 		cores.Open()
@@ -90,8 +91,17 @@
 					continue
 				}
 				l.Do(func() {
-					log.Info("configuration read again", zap.String("runtime", later.Runtime), zap.String("index", later.Index),
+					site, err := g.Site.Over(later.Site)
+					if err != nil {
+						log.Error("configuration not taken, the old one stays", zap.Error(err))
+						return
+					}
+					log.Info("configuration read again", zap.Bool("settings", !reflect.DeepEqual(site, g.Site)), zap.String("runtime", later.Runtime), zap.String("index", later.Index),
 						zap.String("directory", later.Catalog), zap.Strings("not changed while running", g.Fixed(later)))
+					if !reflect.DeepEqual(site, g.Site) {
+						g.Site = site
+						inst.Retell(site)
+					}
 					move(&g.Runtime, later.Runtime, cores.Open)
 					move(&g.Index, later.Index, calls.Move)
 					move(&g.Catalog, later.Catalog, reports.Move)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,7 +10,6 @@
 	"math"
 	"net/netip"
 	"os"
-	"reflect"
 	"slices"
 	"strconv"
 	"time"
@@ -77,6 +76,9 @@
 	if g.Site = told.Read(settings); r.err == nil && len(g.Site.Bands) == 0 {
 		r.fail("settings.classes", "none with a name", "at least one class with a name")
 	}
+	if key, found, want := told.Fault(settings); key != "" {
+		r.fail("settings."+key, show(found, true), want)
+	}
 	if r.err == nil {
 		r.err = limits.err
 	}
@@ -87,8 +89,7 @@
 func (g Given) Fixed(later Given) (keys []string) {
 	for key, same := range map[string]bool{
 		"name": g.Name == later.Name, "listen": g.Listen == later.Listen, "stop_ms": g.Stop == later.Stop,
-		"limits":   g.Cores == later.Cores && g.Memory == later.Memory && g.Sockets == later.Sockets,
-		"settings": reflect.DeepEqual(g.Site, later.Site),
+		"limits": g.Cores == later.Cores && g.Memory == later.Memory && g.Sockets == later.Sockets,
 	} {
 		if !same {
 			keys = append(keys, key)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -41,19 +41,29 @@
 	}
 }
 
+// domain is the settings' object of that name.
+func domain(file map[string]any) map[string]any {
+	return file["settings"].(map[string]any)["domain"].(map[string]any)
+}
+
 func TestFaultsNameTheirKey(t *testing.T) {
 	for key, change := range map[string]func(file, limits map[string]any){
-		"name":             func(f, _ map[string]any) { delete(f, "name") },
-		"runtime":          func(f, _ map[string]any) { f["runtime"] = "localhost:1" },
-		"directory":        func(f, _ map[string]any) { f["directory"] = "127.0.0.1:0" },
-		"index":            func(f, _ map[string]any) { f["index"] = 5 },
-		"seed":             func(f, _ map[string]any) { f["seed"] = "no hex" },
-		"stop_ms":          func(f, _ map[string]any) { f["stop_ms"] = -1 },
-		"limits":           func(f, _ map[string]any) { f["limits"] = "all" },
-		"limits.memory_mb": func(_, l map[string]any) { l["memory_mb"] = 1e12 },
-		"limits.cores":     func(_, l map[string]any) { l["cores"] = "one" },
-		"settings":         func(f, _ map[string]any) { delete(f, "settings") },
-		"settings.classes": func(f, _ map[string]any) { f["settings"] = map[string]any{"classes": []any{}} },
+		"name":                          func(f, _ map[string]any) { delete(f, "name") },
+		"runtime":                       func(f, _ map[string]any) { f["runtime"] = "localhost:1" },
+		"directory":                     func(f, _ map[string]any) { f["directory"] = "127.0.0.1:0" },
+		"index":                         func(f, _ map[string]any) { f["index"] = 5 },
+		"seed":                          func(f, _ map[string]any) { f["seed"] = "no hex" },
+		"stop_ms":                       func(f, _ map[string]any) { f["stop_ms"] = -1 },
+		"limits":                        func(f, _ map[string]any) { f["limits"] = "all" },
+		"limits.memory_mb":              func(_, l map[string]any) { l["memory_mb"] = 1e12 },
+		"limits.cores":                  func(_, l map[string]any) { l["cores"] = "one" },
+		"settings":                      func(f, _ map[string]any) { delete(f, "settings") },
+		"settings.domain.halt":          func(f, _ map[string]any) { domain(f)["halt"] = "drop" },
+		"settings.domain.say":           func(f, _ map[string]any) { domain(f)["say"] = 1 },
+		"settings.domain.readiness":     func(f, _ map[string]any) { domain(f)["readiness"] = "yes" },
+		"settings.domain.caller_idle_s": func(f, _ map[string]any) { domain(f)["caller_idle_s"] = -1 },
+		"settings.domain.dep_share":     func(f, _ map[string]any) { domain(f)["dep_share"] = "0.5" },
+		"settings.classes":              func(f, _ map[string]any) { f["settings"] = map[string]any{"classes": []any{}} },
 	} {
 		_, err := load(t, change)
 		var fault *Fault
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"hash/maphash"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -216,15 +217,53 @@
 	n := &Instance{log: log, site: site, seed: seed, stop: stop, room: int(memory / 4), free: -1, start: time.Now(),
 		bands: map[string]int{}, clients: map[string]int{}, byRid: map[string]int{},
 		receipts: map[string]*receipt{}, digests: maphash.MakeSeed(), checks: map[string]check{}, gauges: told.NoReadings}
-	for i, name := range site.Bands {
-		n.bands[name] = i
+	n.names()
+	return n
+}
+
+// names are what the door takes by the settings in force.
+func (n *Instance) names() {
+	clear(n.bands)
+	clear(n.clients)
+	for i, name := range n.site.Bands {
+		if n.site.Open(name) {
+			n.bands[name] = i
+		}
 	}
-	for i, name := range site.Customers {
+	for i, name := range n.site.Customers {
 		n.clients[name] = i
 	}
-	return n
 }
 
+// Retell puts later settings in force, made by told.Site.Over: indices of bands and customers stay, so that all that
+// is in hand goes on. A receipt is kept for the longer of its two windows.
+func (n *Instance) Retell(site told.Site) {
+	n.put(func() {
+		before := map[string]time.Duration{}
+		for i, name := range n.site.Bands {
+			before[name] = n.window(i)
+		}
+		n.site = site
+		n.names()
+		for key, r := range n.receipts {
+			band, _, _ := strings.Cut(key, " ")
+			if i := slices.Index(site.Bands, band); i >= 0 && n.kind(i) == "receipted" {
+				r.end += max(n.window(i)-before[band], 0)
+			}
+		}
+		if n.mod != nil {
+			n.mod.Retold(site.Told)
+		}
+	})
+}
+
+func (n *Instance) window(band int) time.Duration {
+	return n.span("band." + strconv.Itoa(band) + ".window_s")
+}
+
+// Kind of a band by its name, by the settings in force.
+func (n *Instance) Kind(band string) string { return n.site.Kind(band) }
+
 // Connect joins the instance to its sides.
 func (n *Instance) Connect(r Runtime, b Below, c Reports, fronts ...Front) {
 	n.runtime, n.below, n.reports, n.fronts = r, b, c, fronts
@@ -432,7 +471,7 @@
 	n.lastRead = n.now
 	r := n.receipts[it.key]
 	same := func() bool { return r != nil && r.body == n.digest(ask.Body) }
-	switch window := n.span("band." + strconv.Itoa(it.band) + ".window_s"); {
+	switch window := n.window(it.band); {
 	case it.key != "" && r != nil && n.now-work.Waited <= r.end:
 		if kind == "receipted" && !same() { // not the same request: it must not get that one's result
 			it.why = Conflict
--- a/internal/told/told.go
+++ b/internal/told/told.go
@@ -4,7 +4,11 @@
 package told
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"strconv"
+	"strings"
 
 	"thymechute/policy"
 )
@@ -12,9 +16,12 @@
 // Site is what the settings say: the module's map, and the names that the adapters need.
 type Site struct {
 	Told                     map[string]any
-	Gauges, Bands, Customers []string // in the settings' order
+	Gauges, Bands, Customers []string        // in the settings' order, those of later ones behind
+	closed                   map[string]bool // bands that only earlier settings had
 }
 
+const mostNames = 1000 // of bands, and of customers, in the life of a process
+
 // Read takes the settings as decoded JSON.
 func Read(settings map[string]any) Site {
 	flat, told := map[string]any{}, map[string]any{}
@@ -35,9 +42,68 @@
 		}
 		told["band."+n+".calls"], told["band."+n+".poorer"] = calls, poorer
 	}
-	return Site{told, row(flat, "domain.gauges.", ""), row(flat, "classes.", ".name"), row(flat, "tenants.", ".name")}
+	return Site{Told: told, Gauges: row(flat, "domain.gauges.", ""), Bands: row(flat, "classes.", ".name"),
+		Customers: row(flat, "tenants.", ".name")}
+}
+
+// Over puts later settings over these, for a process that goes on: bands and customers that stand in both keep their
+// index and get the later figures, those that no longer stand keep their figures for what is in hand, and are closed;
+// new ones come behind. A band that would change its kind, or more than mostNames names, is a fault.
+func (s Site) Over(later Site) (Site, error) {
+	o := Site{Told: map[string]any{}, Gauges: later.Gauges}
+	for k, v := range later.Told {
+		if !strings.HasPrefix(k, "band.") && !strings.HasPrefix(k, "customer.") {
+			o.Told[k] = v
+		}
+	}
+	for _, name := range later.Bands {
+		if old, now := s.Kind(name), later.Kind(name); old != "" && old != now {
+			return s, fmt.Errorf("settings.classes: found %s as %q, expected %q while running", name, now, old)
+		}
+	}
+	o.Bands, o.closed = over(o.Told, "band.", s, later, s.Bands, later.Bands)
+	o.Customers, _ = over(o.Told, "customer.", s, later, s.Customers, later.Customers)
+	if len(o.Bands) > mostNames || len(o.Customers) > mostNames {
+		return s, fmt.Errorf("settings: found %d classes and %d tenants since the start, expected at most %d of each while running",
+			len(o.Bands), len(o.Customers), mostNames)
+	}
+	return o, nil
 }
 
+// over lists the names of both, and writes the figures of each under its index.
+func over(told map[string]any, at string, s, later Site, old, now []string) (names []string, closed map[string]bool) {
+	figures := func(from Site, n int, name string) {
+		before, to := at+strconv.Itoa(n)+".", at+strconv.Itoa(len(names))+"."
+		for k, v := range from.Told {
+			if word, ok := strings.CutPrefix(k, before); ok {
+				told[to+word] = v
+			}
+		}
+		names = append(names, name)
+	}
+	for n, name := range old {
+		if m := slices.Index(now, name); m >= 0 {
+			figures(later, m, name)
+		} else {
+			figures(s, n, name)
+			if closed == nil {
+				closed = map[string]bool{}
+			}
+			closed[name] = true
+		}
+	}
+	for m, name := range now {
+		if !slices.Contains(old, name) {
+			figures(later, m, name)
+		}
+	}
+	told[at+"count"] = float64(len(names))
+	return names, closed
+}
+
+// Open tells whether new work of this band is taken.
+func (s Site) Open(band string) bool { return !s.closed[band] }
+
 // Kind of a band by its name: pure, receipted or effectful; empty: no such band, or it is not told.
 func (s Site) Kind(band string) string {
 	for i, name := range s.Bands {
@@ -66,6 +132,48 @@
 	return g
 }
 
+// Fault names the first setting that can't be meant: its key, what was found and what is expected. What is left out,
+// and what is not known here, is none.
+func Fault(settings map[string]any) (key string, found any, want string) {
+	flat := map[string]any{}
+	flatten("", settings, flat)
+	for _, key := range slices.Sorted(maps.Keys(flat)) {
+		_, isFlag := flat[key].(bool)
+		text, isText := flat[key].(string)
+		x, isNumber := flat[key].(float64)
+		word, inClass := key, ""
+		if n, rest, ok := strings.Cut(strings.TrimPrefix(key, "classes."), "."); ok && strings.HasPrefix(key, "classes.") {
+			word, inClass = rest, "classes."+n+"."
+		}
+		switch allowed, limited := words[word]; {
+		case limited:
+			if !isText || !slices.Contains(allowed, text) {
+				return key, flat[key], "one of " + strings.Join(allowed, ", ")
+			}
+		case flags[key]:
+			if !isFlag {
+				return key, flat[key], "true or false"
+			}
+		case names[key] != "" || inClass != "" && bandNames[word] != "":
+			if !isNumber || x < 0 || x > 1e12 {
+				return key, flat[key], "a number from 0 to 1e12"
+			}
+			if latest, ok := flat[inClass+"deadline_s"].(float64); word == "aim_s" && ok && x > latest {
+				return key, x, fmt.Sprintf("at most its deadline_s, %g", latest)
+			}
+		}
+	}
+	return "", nil, ""
+}
+
+// What may stand where a word or a flag is expected; every other setting that is read is a number.
+var (
+	words = map[string][]string{"domain.halt": {"off", "abort", "suspend"}, "domain.depends_on": {"off", "shared", "tier"},
+		"domain.say": {"off", "threshold", "window", "share_of"}, "worth_by": {"request", "work"},
+		"repeat": {"repeatable", "by_key", "once"}}
+	flags = map[string]bool{"domain.cold": true, "domain.readiness": true, "policy_limits.retry_after": true}
+)
+
 // row returns the texts of one list until the first that is missing.
 func row(flat map[string]any, before, after string) (texts []string) {
 	for i := 0; ; i++ {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,9 +24,9 @@
 	margin               = 40 * ms    // answers leave so long before they are due
 	stall                = 100 * ms   // a Tick so late tells of a standstill
 	leastIdle, firstIdle = 0.1, 0.25  // part of the callers' own time after which idle connections close
-	intakePart, doorGain = 0.25, 0.05 // connections and reads in hand a core, aimed at; most change a period
-	repeatsElse          = 0.1        // share of marked repeats over which other servers are taken to be no better off
-	shareSlack           = 8.0        // items of one customer that may come at once, where two seconds' share is less
+	intakePart, doorGain = 0.25, 0.05 // connections and reads in hand a core, aimed at; change a period
+	repeatsElse          = 0.1        // share of marked repeats over which others are taken to be no better off
+	shareSlack           = 8.0        // items of a customer that may come at once, if two seconds' share is less
 
 	shedDown, shedEase, shedMost    = 0.1, 0.03, 0.95 // free value: down a calm period, a light one; most
 	busyRoom, busyFull              = 0.9, 0.97       // cores so busy let one more run, one fewer
@@ -95,7 +95,7 @@
 	read, marked, turned, missed  int        // in this period, as done (runs) and
 	done, waited                  int        // waited (Ticks that found work waiting for a start)
 	lag, limit, shed, said        float64    // limit: the threshold of lag
-	open, intake, ticks           float64    // idle time, as a part; this period's sum of what wants a core beside runs
+	open, intake, ticks           float64    // idle time, as a part; a period's sum of intake in hand
 	flag, jammed, unfit           bool
 	nextTrial, nextSample, wanted time.Duration
 	metered, grace, stopAt, idle  time.Duration
@@ -103,10 +103,40 @@
 
 // New makes the instance of a server that has just started.
 func New(h Host, seed uint64, told map[string]any) *Instance {
-	i := &Instance{host: h, told: told, chance: seed&0xffffffff | 1<<32, stopAt: math.MaxInt64, callUse: 1,
-		grace: math.MaxInt64, nextSample: period, wanted: sweepGap, open: firstIdle}
+	i := &Instance{host: h, chance: seed&0xffffffff | 1<<32, stopAt: math.MaxInt64, grace: math.MaxInt64,
+		callUse: 1, open: firstIdle, nextSample: period, wanted: sweepGap}
+	i.take(told)
+	i.width = float64(i.cores)
+	h.Health(true, true)
+	h.Wake(i.wanted)
+	return i
+}
+
+// Retold: later settings are in force. Bands and customers keep their indices, new ones come behind; what is
+// in hand goes on, its due times and receipts as they were. The memory is counted anew by the later figures.
+func (i *Instance) Retold(told map[string]any) {
+	i.take(told)
+	i.memory = float64(len(i.receipts)) * i.num("receipt_kb", 0)
+	for w := range i.items {
+		if it := &i.items[w]; it.state != absent {
+			i.memory += it.KB
+			if it.state != held && it.state != joined {
+				i.memory += it.KB * (i.num("run_memory", 1) - 1)
+			}
+		}
+	}
+	i.said, i.idle = math.Inf(1), 0 // said anew, in the form that now holds
+	if i.unfit && i.grace == math.MaxInt64 && i.told["list_follows"] != true {
+		i.unfit = false
+		i.host.Health(true, true)
+	}
+}
+
+// take reads the settings, into what stands where something does.
+func (i *Instance) take(told map[string]any) {
+	i.told = told
 	i.cores = int(min(max(i.num("cores", 1), 1), 4096))
-	i.width, i.ram = float64(i.cores), max(i.num("memory_kb", 1e6), 1)
+	i.ram = max(i.num("memory_kb", 1e6), 1)
 	switch i.callShare = 1e6; i.told["below"] {
 	case "shared":
 		i.callShare = max(i.num("calls_share", 1), leastShare)
@@ -114,22 +144,22 @@
 		i.callShare = max(math.Floor(i.num("crowd", 2)*float64(i.cores)*crowdPart), 1)
 	}
 	for n := range int(min(max(i.num("band.count", 1), 1), 1000)) {
-		at := fmt.Sprintf("band.%d.", n)
-		b := band{payoff: i.num(at+"payoff", 1), late: i.num(at+"late_payoff", 0),
-			poorer: i.num(at+"poorer", 0), due: i.span(at+"due_s", 1),
-			patience: i.span(at+"patience_s", 2), window: i.span(at+"window_s", 10), calls: i.told[at+"calls"] == true}
-		b.kind, _ = i.told[at+"kind"].(string)   // what is no kind told here is as good as effectful
-		b.latency = max(b.due.Seconds()/4, 1e-3) // until some have ended
-		b.base, b.span = b.latency, b.latency
-		i.bands = append(i.bands, b)
+		if n == len(i.bands) {
+			first := max(i.span(fmt.Sprintf("band.%d.due_s", n), 1).Seconds()/4, 1e-3) // until some have ended
+			i.bands = append(i.bands, band{latency: first, base: first, span: first})
+		}
+		at, b := fmt.Sprintf("band.%d.", n), &i.bands[n]
+		b.kind, _ = told[at+"kind"].(string) // what is no kind told here is as good as effectful
+		b.payoff, b.late, b.poorer = i.num(at+"payoff", 1), i.num(at+"late_payoff", 0), i.num(at+"poorer", 0)
+		b.due, b.patience = i.span(at+"due_s", 1), i.span(at+"patience_s", 2)
+		b.window, b.calls = i.span(at+"window_s", 10), told[at+"calls"] == true
 	}
 	for n := range int(min(i.num("customer.count", 0), 10000)) {
-		rate := i.num(fmt.Sprintf("customer.%d.share_per_s", n), 0) / max(i.num("fleet", 1), 1)
-		i.customers = append(i.customers, customer{rate, 0, -1e9})
+		if n == len(i.customers) {
+			i.customers = append(i.customers, customer{seen: -1e9})
+		}
+		i.customers[n].rate = i.num(fmt.Sprintf("customer.%d.share_per_s", n), 0) / max(i.num("fleet", 1), 1)
 	}
-	h.Health(true, true)
-	h.Wake(i.wanted)
-	return i
 }
 
 func (i *Instance) num(name string, otherwise float64) float64 {
@@ -498,9 +528,9 @@
 	}
 }
 
-// meter tells the calls in hand and the share in use, and keeps the call-seconds that the call beyond the whole ones
-// used over its part. A part's use in any window is at most partUse of steady use, savedCalls saved up and partCall by
-// one call, together all of it: when what lies below slows at once for all servers, each has such a call out.
+// meter tells the calls in hand and the share in use, and keeps the call-seconds that the call beyond the
+// whole ones used over its part. A part's use in any window is at most partUse of steady use, savedCalls
+// saved up and partCall by one call, together all of it: where what lies below slows, all servers do this.
 func (i *Instance) meter(now time.Duration) (out, share float64) {
 	out, share = float64(i.calls+len(i.lingering)), i.callShare*i.callUse
 	whole, part := math.Modf(share)
@@ -677,7 +707,7 @@
 			i.flag, i.lag, len(i.held), i.onCores, i.width, i.shed)
 	}
 	i.adjust()
-	i.health(now)
+	i.health()
 	i.doors()
 	// What lies below is crowded long before it dies: slow calls use less of it, so that more of them end.
 	if i.callUse = min(i.callUse+callsUp, 1); i.slowBelow() {
@@ -708,9 +738,10 @@
 	i.shed = min(max(i.shed, 0), shedMost)
 }
 
-// doors moves the time after which idle connections close. A full table shuts callers out whatever they bring, new
-// connections take the cores from the runs: what wants a core beside the runs tells whether more may come. The
-// change is slow, as a connection keeps the time under which it fell idle, and a table let go at once fills at once.
+// doors moves the time after which idle connections close. A full table shuts callers out whatever they
+// bring, new connections take the cores from the runs: what wants a core beside the runs tells whether more
+// may come. The change is slow: a connection keeps the time under which it fell idle, and a table let go at
+// once fills at once.
 func (i *Instance) doors() {
 	whole := i.span("idle_s", 0)
 	if i.ticks == 0 || whole <= 0 {
@@ -729,10 +760,10 @@
 	}
 }
 
-// health takes a jammed server off the list that every caller reads, where it follows health: who meets this server
-// too seldom to remember what it said still stays away. Dampened like the flag, both ways.
-func (i *Instance) health(now time.Duration) {
-	if i.told["list_follows"] != true || now > i.grace-period {
+// health takes a jammed server off the list that every caller reads, where it follows health: who meets
+// this server too seldom to remember what it said still stays away. Dampened like the flag, both ways.
+func (i *Instance) health() {
+	if i.told["list_follows"] != true || i.grace != math.MaxInt64 {
 		return
 	}
 	jam := i.jam()
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -422,7 +422,7 @@
 	long := of(0)
 	long.Hint = 1600 * ms // 16 times the mean run: taken for four times
 	i.Arrived(0, 0, long)
-	if d := i.density(0, 0); d != 2 { // 1 over 0.4 s, to a power of two; by the hint itself it could not end in time
+	if d := i.density(0, 0); d != 2 { // 1 over 0.4 s, to a power of two; by the hint itself it could not end
 		t.Errorf("density %v", d)
 	}
 }
@@ -430,7 +430,7 @@
 // judged lets a period pass for health alone.
 func judged(i *Instance, unread, repeats float64) {
 	i.unread, i.repeats = unread, repeats
-	i.health(0)
+	i.health()
 }
 
 func TestJammedServerLeavesTheListThatFollowsHealth(t *testing.T) {
@@ -448,12 +448,49 @@
 	judged(i, 0, 0)
 	judged(i, 0, 0)
 	b.Wants(t, 2, "health true")
+	i.Leave(0, time.Second) // from now on nothing says that it is fit
+	judged(i, 1, 0)
+	judged(i, 1, 0)
+	judged(i, 0, 0)
+	judged(i, 0, 0)
+	b.Wants(t, 2, "health true")
 	i, b = fresh(nil)
 	judged(i, 1, 0)
 	judged(i, 1, 0)
 	b.Wants(t, 0, "health false")
 }
 
+func TestLaterSettingsFindAllInHand(t *testing.T) {
+	more := map[string]any{"list_follows": true}
+	i, b := fresh(more)
+	i.Arrived(0, 0, of(1))
+	i.Settle(0)
+	i.Arrived(0, 1, of(0))
+	i.Tick(20*ms, Gauges{Busy: -1})
+	judged(i, 1, 0)
+	judged(i, 1, 0)
+	learnt := i.bands[1]
+	i.Retold(aid.Told(map[string]any{"run_memory": 8.0, "receipt_kb": 30.0, "free_value": "share_of",
+		"band.count": 4.0, "band.1.payoff": 7.0, "band.3.kind": "receipted", "calls_share": 0.5}))
+	if i.memory != 8*10+10+30 || i.callShare != 0.5 || len(i.bands) != 4 || i.bands[3].kind != "receipted" {
+		t.Errorf("memory %v, share %v, %d bands", i.memory, i.callShare, len(i.bands))
+	}
+	if now := i.bands[1]; now.payoff != 7 || now.base != learnt.base || now.kind != "receipted" {
+		t.Errorf("%+v, was %+v", now, learnt)
+	}
+	b.Wants(t, 2, "health true") // nothing says it any more once the list does not follow
+	i.Tick(40*ms, Gauges{Busy: -1})
+	b.Wants(t, 1, "free") // again, in the form that now holds
+	i.Ended(50*ms, 0, OK, 50*ms)
+	i.Settle(50 * ms)
+	i.Ended(90*ms, 1, OK, 40*ms)
+	i.Tick(11*time.Second, Gauges{Busy: -1})
+	i.Retold(aid.Told(more))
+	if i.memory != 0 || len(i.receipts) != 0 {
+		t.Errorf("memory %v, %d receipts left", i.memory, len(i.receipts))
+	}
+}
+
 func TestOthersMayHelpWhileFewRepeatsAreRead(t *testing.T) {
 	for repeats, words := range map[float64]string{0.05: "back 3 no=false", 0.3: "back 3 no=true"} {
 		i, b := fresh(nil)
