--- a/internal/told/told_test.go
+++ b/internal/told/told_test.go
@@ -37,10 +37,14 @@
 }
 
 func TestNamesAreBounded(t *testing.T) {
-	s := Read(site("trace", "repeatable"))
-	var err error
-	for n := 0; n < mostNames && err == nil; n++ {
-		s, err = s.Over(Read(site(strings.Repeat("x", n+1), "once")))
+	var classes []string
+	for n := range mostNames {
+		classes = append(classes, strings.Repeat("x", n+1), "once")
+	}
+	s := Read(site(classes...))
+	_, err := s.Over(Read(site("trace", "repeatable")))
+	if again, same := s.Over(s); same != nil || len(again.Bands) != mostNames {
+		t.Errorf("%d bands, %v", len(again.Bands), same)
 	}
 	if err == nil || len(s.Bands) != mostNames {
 		t.Errorf("%d bands, %v", len(s.Bands), err)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,6 +36,7 @@
 	again, crowdPart                = 0.25, 0.75      // payoff of a marked repeat; part used of the crowd
 	leastFit, fill                  = 0.8, 0.95       // of its run that must fit; of memory that is used
 	failures, trialGap              = 5, 500 * ms     // calls failed in a row before they stop; between trials
+	leastSaid, leastWindow          = 0.01, 0.1       // change of the free value worth saying; a caller's window
 	callSlow, standPart             = 0.1, 0.15       // of a due time: slow calls; longest optional stand
 	leastCalls                      = 0.05            // of the share of calls: least used
 	partUse, savedCalls, partCall   = 0.5, 0.1, 0.4   // of a part of a call: steady use; saved up; by one call
@@ -83,6 +84,7 @@
 	standing  []int           // at a call not out; emptied by the call, its omission or an answer
 	receipts  []time.Duration // ends of those in the key table; emptied by time and by Forget
 	lingering []time.Duration // ends of calls given up; emptied by time
+	from      map[int]bool    // callers read in this period; emptied each period
 	chance    uint64
 
 	cores, onCores, calls, crossings, fails, jams int
@@ -96,7 +98,7 @@
 	done, waited                  int        // waited (Ticks that found work waiting for a start)
 	lag, limit, shed, said        float64    // limit: the threshold of lag
 	open, intake, ticks           float64    // idle time, as a part; a period's sum of intake in hand
-	flag, jammed, unfit           bool
+	flag, jammed, unfit, stops    bool       // stops: a run can be taken off the cores
 	nextTrial, nextSample, wanted time.Duration
 	metered, grace, stopAt, idle  time.Duration
 }
@@ -104,7 +106,7 @@
 // New makes the instance of a server that has just started.
 func New(h Host, seed uint64, told map[string]any) *Instance {
 	i := &Instance{host: h, chance: seed&0xffffffff | 1<<32, stopAt: math.MaxInt64, grace: math.MaxInt64,
-		callUse: 1, open: firstIdle, nextSample: period, wanted: sweepGap}
+		callUse: 1, open: firstIdle, nextSample: period, wanted: sweepGap, from: map[int]bool{}}
 	i.take(told)
 	i.width = float64(i.cores)
 	h.Health(true, true)
@@ -126,15 +128,11 @@
 		}
 	}
 	i.said, i.idle = math.Inf(1), 0 // said anew, in the form that now holds
-	if i.unfit && i.grace == math.MaxInt64 && i.told["list_follows"] != true {
-		i.unfit = false
-		i.host.Health(true, true)
-	}
 }
 
 // take reads the settings, into what stands where something does.
 func (i *Instance) take(told map[string]any) {
-	i.told = told
+	i.told, i.stops = told, told["stop_mode"] == "abort" || told["stop_mode"] == "suspend"
 	i.cores = int(min(max(i.num("cores", 1), 1), 4096))
 	i.ram = max(i.num("memory_kb", 1e6), 1)
 	switch i.callShare = 1e6; i.told["below"] {
@@ -185,6 +183,7 @@
 	*it = item{Work: work, state: held, arrived: now - work.Waited}
 	i.memory += work.KB
 	i.read++
+	i.from[work.From] = true
 	if work.Repeat {
 		i.marked++
 	}
@@ -592,14 +591,9 @@
 	i.halt(it, w)
 }
 
-// stops tells whether a run can be taken off the cores; of what is answered it is the end either way.
-func (i *Instance) stops() bool {
-	return i.told["stop_mode"] == "abort" || i.told["stop_mode"] == "suspend"
-}
-
 func (i *Instance) halt(it *item, w int) {
 	i.standing = without(i.standing, w)
-	if it.state == running && i.stops() {
+	if it.state == running && i.stops {
 		i.host.Stop(w)
 	}
 }
@@ -654,16 +648,15 @@
 		case it.state == joined && late:
 			i.host.Scrap(w)
 			i.drop(w)
-		case it.state != joined && (late || worthless && i.stops()):
+		case it.state != joined && (late || worthless && i.stops):
 			i.scrap(now, w)
 		}
 	}
-	if g.Runnable >= 0 {
-		i.intake += max(g.Runnable-float64(i.onCores), 0)
-		i.ticks++
-	}
-	if g.Runnable >= 0 && g.Runnable-float64(i.onCores) < float64(i.cores) {
-		i.unread *= jamFade // a core is free to read, so nothing waits unread
+	if beside := g.Runnable - float64(i.onCores); g.Runnable >= 0 {
+		i.intake, i.ticks = i.intake+max(beside, 0), i.ticks+1
+		if beside < float64(i.cores) {
+			i.unread *= jamFade // a core is free to read, so nothing waits unread
+		}
 	}
 	i.say(now)
 	if i.waiting() > 0 {
@@ -722,6 +715,7 @@
 		learn(&i.repeats, float64(i.marked)/float64(i.read), 3)
 		learn(&i.turnedShare, float64(i.turned)/float64(max(i.read, i.turned)), 3)
 	}
+	clear(i.from)
 	i.read, i.marked, i.turned, i.missed, i.done, i.waited = 0, 0, 0, 0, 0, 0
 }
 
@@ -749,11 +743,11 @@
 	}
 	spare := min(max(1-i.intake/i.ticks/(intakePart*float64(i.cores)), -1), 1)
 	i.open = min(max(i.open*(1-doorGain*spare), leastIdle), 1)
-	i.intake, i.ticks = 0, 0
 	part := i.open
 	if learn(&i.sends, float64(i.read), 15); i.sends*whole.Seconds() > i.num("callers", 0)*period.Seconds() {
 		part = 1 // a caller mostly comes again before its connection would close: closing it gains nothing
 	}
+	i.intake, i.ticks = 0, 0
 	if after := time.Duration(part * float64(whole)).Round(100 * ms); after != i.idle {
 		i.idle = after
 		i.host.Idle(after)
@@ -763,14 +757,12 @@
 // health takes a jammed server off the list that every caller reads, where it follows health: who meets
 // this server too seldom to remember what it said still stays away. Dampened like the flag, both ways.
 func (i *Instance) health() {
-	if i.told["list_follows"] != true || i.grace != math.MaxInt64 {
-		return
-	}
 	jam := i.jam()
-	if i.jams++; (jam == 1 || jam > 0 && (i.unfit || i.repeats < repeatsElse)) == i.unfit {
+	bad := i.told["list_follows"] == true && (jam == 1 || jam > 0 && (i.unfit || i.repeats < repeatsElse))
+	if i.jams++; bad == i.unfit {
 		i.jams = 0
 	}
-	if i.jams >= dampening {
+	if i.jams >= dampening && i.grace == math.MaxInt64 {
 		i.jams, i.unfit = 0, !i.unfit
 		i.host.Health(!i.unfit, true)
 	}
@@ -791,7 +783,7 @@
 	if now > i.grace-period {
 		value = 1 // until then it serves what comes
 	}
-	if math.Abs(value-i.said) < 0.01 {
+	if math.Abs(value-i.said) < leastSaid {
 		return
 	}
 	switch i.said = value; i.told["free_value"] {
@@ -800,6 +792,10 @@
 	case "share_of":
 		i.host.Free(1 - value)
 	case "window":
-		i.host.Free(max(2*i.width*(1-value)/max(i.num("callers", 1), 1), 0.1))
+		window := 2 * i.width // a calm server leaves all of it to any caller
+		if value >= leastSaid {
+			window = max(window*(1-value)/float64(max(len(i.from), 1)), leastWindow)
+		}
+		i.host.Free(window)
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -478,7 +478,9 @@
 	if now := i.bands[1]; now.payoff != 7 || now.base != learnt.base || now.kind != "receipted" {
 		t.Errorf("%+v, was %+v", now, learnt)
 	}
-	b.Wants(t, 2, "health true") // nothing says it any more once the list does not follow
+	judged(i, 1, 0) // where the list does not follow it is fit again
+	judged(i, 1, 0)
+	b.Wants(t, 2, "health true")
 	i.Tick(40*ms, Gauges{Busy: -1})
 	b.Wants(t, 1, "free") // again, in the form that now holds
 	i.Ended(50*ms, 0, OK, 50*ms)
@@ -638,6 +640,25 @@
 	b.Wants(t, 1, "idle 30s")
 }
 
+func TestWindowIsSharedByTheCallersThatCame(t *testing.T) {
+	i, b := fresh(map[string]any{"free_value": "window", "callers": 1000.0})
+	for w := range 2 {
+		work := of(0)
+		work.From = 7 + w
+		i.Arrived(0, w, work)
+	}
+	i.shed = 0.5
+	i.say(0)
+	b.Wants(t, 1, "free 1.000") // two runs a core on two cores, half of it, for two callers
+	i.shed = 0
+	i.say(0)
+	b.Wants(t, 1, "free 4.000") // all of it once calm, whoever comes
+	i.judge(period, Gauges{Busy: -1})
+	if len(i.from) != 0 {
+		t.Error("callers of the last period are kept")
+	}
+}
+
 func TestAnsweredRunLeavesTheCoresWhereAStopSuspends(t *testing.T) {
 	i, b := fresh(map[string]any{"stop_mode": "suspend"})
 	busy(i, 0, 0)
