Word final where a call is needed and crawls for all; cores free for standing calls try nothing

Now what needs a call is told that no other server helps while calls fail or crawl, and a core counts as free while nothing stands. The adapters against the wire are in docs/assumptions.md.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -227,8 +227,10 @@
 	need := i.receiptKB(it) + float64(max(int(i.width)-i.onCores, 1))*i.size*(i.num("run_memory", 1)-1)
 	for full := i.flag && i.waiting() > 0 || i.random() < i.jam(); full || !i.fits(need); full = false {
 		least := slices.MinFunc(append([]int{w}, i.held...), i.byDensity(now, 1))
-		// No other server helps what was elsewhere already, nor where so much is turned back here.
-		i.turnBack(now, least, i.items[least].Repeat || i.repeats > repeatsElse)
+		// No other server helps what was elsewhere already, nor where many come from others, nor what needs a
+		// call while what lies below all servers fails or crawls.
+		crawls := i.bands[i.items[least].Band].calls && (i.fails >= failures || i.slowBelow())
+		i.turnBack(now, least, i.items[least].Repeat || i.repeats > repeatsElse || crawls)
 		if least == w {
 			return
 		}
@@ -325,7 +327,8 @@
 		if (it.due - margin - now).Seconds() > whole {
 			chance = max(chance, b.late)
 		}
-		if (2*i.onCores < i.cores || i.onCores < i.cores && !i.flag) && it.use > now {
+		free := i.onCores < i.cores && !i.flag && len(i.standing) == 0 // not only since all stand at calls
+		if (free || 2*i.onCores < i.cores) && it.use > now {
 			chance = max(chance, idleTry) // guesses mislead, and trying costs an idle server nothing
 		}
 		payoff *= chance
