Word final by the share turned back again; a free core tries long guesses, no long runs

Cause of the one: what can't end in time for its calls' sake was tried on a free core, as no hint was asked for; now only a hint's word is doubted.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,7 +25,8 @@
 	stall                = 100 * ms   // a Tick so late tells of a standstill
 	leastIdle, firstIdle = 0.1, 0.25  // part of the callers' own time after which idle connections close
 	intakePart, doorGain = 0.25, 0.05 // connections and reads in hand a core, aimed at; change a period
-	repeatsElse          = 0.1        // share of marked repeats over which others are taken to be no better off
+	everywhere           = 0.05       // share turned back over which other servers are taken to be no better off
+	repeatsElse          = 0.1        // the same told by the share of marked repeats read, for the list
 	shareSlack           = 8.0        // items of a customer that may come at once, if two seconds' share is less
 
 	shedDown, shedEase, shedMost    = 0.1, 0.03, 0.95 // free value: down a calm period, a light one; most
@@ -227,10 +228,8 @@
 	need := i.receiptKB(it) + float64(max(int(i.width)-i.onCores, 1))*i.size*(i.num("run_memory", 1)-1)
 	for full := i.flag && i.waiting() > 0 || i.random() < i.jam(); full || !i.fits(need); full = false {
 		least := slices.MinFunc(append([]int{w}, i.held...), i.byDensity(now, 1))
-		// No other server helps what was elsewhere already, nor where many come from others, nor what needs a
-		// call while what lies below all servers fails or crawls.
-		crawls := i.bands[i.items[least].Band].calls && (i.fails >= failures || i.slowBelow())
-		i.turnBack(now, least, i.items[least].Repeat || i.repeats > repeatsElse || crawls)
+		// No other server helps what was elsewhere already, nor where so much is turned back here.
+		i.turnBack(now, least, i.items[least].Repeat || i.turnedShare > everywhere)
 		if least == w {
 			return
 		}
@@ -327,7 +326,7 @@
 		if (it.due - margin - now).Seconds() > whole {
 			chance = max(chance, b.late)
 		}
-		free := i.onCores < i.cores && !i.flag && len(i.standing) == 0 // not only since all stand at calls
+		free := it.Hint > 0 && i.onCores < i.cores && !i.flag
 		if (free || 2*i.onCores < i.cores) && it.use > now {
 			chance = max(chance, idleTry) // guesses mislead, and trying costs an idle server nothing
 		}
