Out goes what only the four ended deployments had

Known by the site files: of the four that are kept all have late_worth 0, skip_worth 0, fresh_ms 0, and none has a tier below (shared or none).

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -218,7 +218,6 @@
 	if w.Repeat, err = m.Bool("repeat"); err != nil {
 		return err
 	}
-	_, w.Subject = m.Field("object")
 	w.Band, w.Customer, w.From = int(n[0]), int(n[1]), int(n[2])
 	w.Forerunner = policy.NoForerunner
 	if n[3] != 0 {
@@ -261,12 +260,11 @@
 
 func (h *host) say(name string, pairs ...any) { h.out = wire.Line(h.out, name, pairs...) }
 
-func (h *host) Start(w int)    { h.say("RUN", "ticket", h.ticket[w]) }
-func (h *host) Stop(w int)     { h.say("TAKE_OFF", "ticket", h.ticket[w]) }
-func (h *host) Scrap(w int)    { h.say("ERROR", "ticket", h.ticket[w]) }
-func (h *host) LeaveOut(w int) { h.say("OMIT", "ticket", h.ticket[w]) }
-func (h *host) Forget(w int)   { h.say("RELEASE_KEY", "ticket", h.ticket[w]) }
-func (h *host) Join(w int)     { h.say("ATTACH", "ticket", h.ticket[w]) }
+func (h *host) Start(w int)  { h.say("RUN", "ticket", h.ticket[w]) }
+func (h *host) Stop(w int)   { h.say("TAKE_OFF", "ticket", h.ticket[w]) }
+func (h *host) Scrap(w int)  { h.say("ERROR", "ticket", h.ticket[w]) }
+func (h *host) Forget(w int) { h.say("RELEASE_KEY", "ticket", h.ticket[w]) }
+func (h *host) Join(w int)   { h.say("ATTACH", "ticket", h.ticket[w]) }
 func (h *host) TurnBack(w int, comeBack time.Duration, no bool) {
 	h.say("NOT_NOW", "ticket", h.ticket[w], "pause_s", comeBack, "final", no)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,7 +102,6 @@
 	Start(rid, band string, body []byte)
 	Stop(rid string)
 	Give(rid string, reply []byte)
-	LeaveOut(rid string)
 	Gauges()
 	SelfTest(tag string)
 }
@@ -450,11 +449,8 @@
 
 // key under which a work item's receipt stands; empty: it has none.
 func (n *Instance) key(band int, ask Ask) string {
-	switch kind := n.kind(band); {
-	case kind == "receipted" && ask.Receipt != "":
+	if n.kind(band) == "receipted" && ask.Receipt != "" {
 		return ask.Band + " " + ask.Receipt
-	case kind == "pure" && ask.Subject != "" && n.span("fresh_s") > 0:
-		return ask.Band + " " + ask.Subject
 	}
 	return ""
 }
@@ -463,7 +459,7 @@
 	it := &n.items[w]
 	kind := n.kind(it.band)
 	work := policy.Work{Band: it.band, Customer: customer, From: ask.From, Repeat: ask.Again, Rank: ask.Rank,
-		KB: ask.KB, Subject: ask.Subject != "", Forerunner: policy.NoForerunner}
+		KB: ask.KB, Forerunner: policy.NoForerunner}
 	work.Waited = min(max(time.Since(ask.Came), 0), longestWait)
 	if ask.Patience > 0 { // what is past is the module's to end, and no patience at all would mean that none is told
 		work.Patience = max(ask.Patience-work.Waited, 1)
@@ -752,9 +748,6 @@
 	n.below.Call(it.rid, patience, it.call)
 }
 
-// LeaveOut goes on without it.
-func (n *Instance) LeaveOut(w int) { n.runtime.LeaveOut(n.items[w].rid) }
-
 func (n *Instance) digest(body []byte) uint64 { return maphash.Bytes(n.digests, body) }
 
 // Record enters the receipt, or moves it to this try.
--- a/internal/told/told.go
+++ b/internal/told/told.go
@@ -35,12 +35,11 @@
 	list(flat, told, "tenants.", "customer.", customerNames)
 	for i := 0; ; i++ {
 		n := strconv.Itoa(i)
-		calls, ok1 := flat["domain.calls_by_class."+n]
-		poorer, ok2 := flat["domain.degraded_worth."+n]
-		if !ok1 && !ok2 {
+		calls, ok := flat["domain.calls_by_class."+n]
+		if !ok {
 			break
 		}
-		told["band."+n+".calls"], told["band."+n+".poorer"] = calls, poorer
+		told["band."+n+".calls"] = calls
 	}
 	return Site{Told: told, Gauges: row(flat, "domain.gauges.", ""), Bands: row(flat, "classes.", ".name"),
 		Customers: row(flat, "tenants.", ".name")}
@@ -225,7 +224,7 @@
 // The settings' names and ours.
 var names = map[string]string{
 	"domain.cores": "cores", "domain.ram_kb": "memory_kb", "domain.blowup": "run_memory",
-	"domain.entry_kb": "receipt_kb", "domain.fresh_s": "fresh_s", "domain.halt": "stop_mode",
+	"domain.entry_kb": "receipt_kb", "domain.halt": "stop_mode",
 	"domain.say": "free_value", "domain.cold": "cold", "domain.clients_total": "callers",
 	"domain.caller_idle_s": "idle_s", "domain.depends_on": "below", "domain.dep_share": "calls_share",
 	"domain.readiness": "list_follows", "domain.said_for_s": "said_for_s", "domain.linger_s": "calls_linger_s", "domain.dep_window_s": "calls_window_s",
@@ -236,7 +235,7 @@
 }
 
 var bandNames = map[string]string{
-	"aim_s": "due_s", "deadline_s": "patience_s", "late_value": "late_payoff", "repeat": "kind",
+	"aim_s": "due_s", "deadline_s": "patience_s", "repeat": "kind",
 	"window_s": "window_s", "worth": "payoff",
 }
 
--- a/policy/host.go
+++ b/policy/host.go
@@ -10,7 +10,6 @@
 	TurnBack(w int, comeBack time.Duration, no bool) // unserved; no: another server won't help
 	Scrap(w int)                                     // final answer: an error
 	Call(w int, patience time.Duration)              // issue the call that the work item stands at
-	LeaveOut(w int)                                  // go on without that call
 	Record(w int, life time.Duration)                // enter its receipt in the key table
 	Forget(w int)                                    // take the receipt out
 	Join(w int)                                      // answer a repeat from its forerunner's result
@@ -38,7 +37,6 @@
 	Forerunner           int           // index of the one it repeats, or one of the above
 	Rank                 float64       // place among all by payoff, 0 to under 1
 	KB                   float64       // memory while held
-	Subject              bool          // it names one
 }
 
 // Outcome is how a run or a call ended.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,7 +38,7 @@
 	leastFit, fill                  = 0.8, 0.95       // of its run that must fit; of memory that is used
 	failures, trialGap              = 5, 500 * ms     // calls failed in a row before they stop; between trials
 	leastSaid, leastWindow          = 0.01, 0.1       // change of the free value worth saying; a caller's window
-	callSlow, standPart             = 0.1, 0.15       // of a due time: slow calls; longest optional stand
+	callSlow                        = 0.1             // of a due time: slow calls
 	leastCalls                      = 0.05            // of the share of calls: least used
 	partUse, savedCalls, partCall   = 0.5, 0.1, 0.4   // of a part of a call: steady use; saved up; by one call
 	meanCalls                       = 0.9             // of the share in use, in the mean
@@ -67,7 +67,7 @@
 
 type band struct {
 	kind                                string
-	payoff, late, poorer                float64
+	payoff                              float64
 	due, patience, window               time.Duration
 	calls                               bool
 	base, latency, span, perHint, ended float64 // seconds: least seen, recent run less calls, recent run
@@ -137,11 +137,8 @@
 	i.told, i.stops = told, told["stop_mode"] == "abort" || told["stop_mode"] == "suspend"
 	i.cores = int(min(max(i.num("cores", 1), 1), 4096))
 	i.ram = max(i.num("memory_kb", 1e6), 1)
-	switch i.callShare = 1e6; i.told["below"] {
-	case "shared":
+	if i.callShare = 1e6; told["below"] == "shared" {
 		i.callShare = max(i.num("calls_share", 1), leastShare)
-	case "tier":
-		i.callShare = max(math.Floor(i.num("crowd", 2)*float64(i.cores)*crowdPart), 1)
 	}
 	for n := range int(min(max(i.num("band.count", 1), 1), 1000)) {
 		if n == len(i.bands) {
@@ -150,9 +147,8 @@
 		}
 		at, b := fmt.Sprintf("band.%d.", n), &i.bands[n]
 		b.kind, _ = told[at+"kind"].(string) // what is no kind told here is as good as effectful
-		b.payoff, b.late, b.poorer = i.num(at+"payoff", 1), i.num(at+"late_payoff", 0), i.num(at+"poorer", 0)
-		b.due, b.patience = i.span(at+"due_s", 1), i.span(at+"patience_s", 2)
-		b.window, b.calls = i.span(at+"window_s", 10), told[at+"calls"] == true
+		b.payoff, b.calls = i.num(at+"payoff", 1), told[at+"calls"] == true
+		b.due, b.patience, b.window = i.span(at+"due_s", 1), i.span(at+"patience_s", 2), i.span(at+"window_s", 10)
 	}
 	for n := range int(min(i.num("customer.count", 0), 10000)) {
 		if n == len(i.customers) {
@@ -244,10 +240,7 @@
 // record enters a receipt before the run, so that a repeat of a held one is known too.
 func (i *Instance) record(now time.Duration, it *item, w int) {
 	b := &i.bands[it.Band]
-	life := i.span("fresh_s", 0)
-	if b.kind == "receipted" {
-		life = it.arrived + b.window + 2*margin - now
-	}
+	life := it.arrived + b.window + 2*margin - now
 	if i.receiptKB(it) == 0 || life <= 0 {
 		return
 	}
@@ -259,8 +252,7 @@
 }
 
 func (i *Instance) receiptKB(it *item) float64 {
-	kind, shared := i.bands[it.Band].kind, it.Subject && i.num("fresh_s", 0) > 0
-	if kind == "receipted" || kind == "pure" && shared {
+	if i.bands[it.Band].kind == "receipted" {
 		return max(i.num("receipt_kb", 0), 0.001)
 	}
 	return 0
@@ -324,9 +316,6 @@
 	if it.state == held {
 		// The less of its expected run fits before the due time, the less likely it is of use.
 		chance := min(((it.use-now).Seconds()/whole-leastFit)/(1-leastFit), 1)
-		if (it.due - margin - now).Seconds() > whole {
-			chance = max(chance, b.late)
-		}
 		free := it.Hint > 0 && i.onCores < i.cores && !i.flag
 		if (free || 2*i.onCores < i.cores) && it.use > now {
 			chance = max(chance, idleTry) // guesses mislead, and trying costs an idle server nothing
@@ -392,7 +381,7 @@
 func (i *Instance) Settle(now time.Duration) {
 	i.serveCalls(now)
 	for i.room(now) > 0 && len(i.held) > 0 {
-		// None that can't do without a call starts behind one that stands for its, or for a trial.
+		// None that may need a call starts behind one that stands for its, or for a trial.
 		idle := 2*i.onCores < i.cores && len(i.standing) < i.cores // trying costs nothing: not all come to a call
 		stopped := !idle && (len(i.standing) > 0 || i.fails >= failures && i.calls > 0)
 		best, most := -1, 0.0
@@ -404,7 +393,7 @@
 				continue
 			}
 			it, b := &i.items[w], &i.bands[i.items[w].Band]
-			if stopped && b.calls && b.poorer == 0 || !i.fits(it.KB*(i.num("run_memory", 1)-1)) {
+			if stopped && b.calls || !i.fits(it.KB*(i.num("run_memory", 1)-1)) {
 				continue
 			}
 			if d > most || d == most && it.use <= i.items[best].use {
@@ -483,18 +472,9 @@
 	}
 }
 
-// serveCalls issues the calls that may be out. While calls fail or take much of a due time, and after a long
-// stand, bands that can do without leave them out, but for a trial, so that the rest finds room below.
+// serveCalls issues the calls that may be out; while calls fail, only a trial.
 func (i *Instance) serveCalls(now time.Duration) {
-	down, trial := i.fails >= failures, i.calls == 0 && now >= i.nextTrial
-	spare := (down || i.slowBelow()) && !trial
-	for _, w := range slices.Clone(i.standing) {
-		b, stood := &i.bands[i.items[w].Band], now-i.items[w].since
-		if b.poorer > 0 && (spare || stood.Seconds() > standPart*b.due.Seconds()) {
-			i.resume(now, w)
-			i.host.LeaveOut(w)
-		}
-	}
+	down := i.fails >= failures
 	for len(i.standing) > 0 {
 		out, share := i.meter(now)
 		w := slices.MaxFunc(i.standing, i.byDensity(now, -1)) // of equal ones the newest: it has time for its call
@@ -569,10 +549,6 @@
 		}
 	}
 	b := &i.bands[it.Band]
-	if !it.answered && b.poorer > 0 {
-		i.host.LeaveOut(w)
-		return
-	}
 	i.AtCall(now, w)
 	if it.answered {
 		i.halt(it, w)
@@ -642,7 +618,7 @@
 		if it.state == absent || it.answered {
 			continue
 		}
-		late, worthless := now >= it.due-margin, now >= it.use && i.bands[it.Band].late == 0
+		late, worthless := now >= it.due-margin, now >= it.use
 		switch {
 		case it.state == held:
 			if late || i.density(now, w) <= 0 {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -542,19 +542,6 @@
 	}
 }
 
-func TestSlowCallsAreLeftOutWhereTheyCanBe(t *testing.T) {
-	i, b := fresh(map[string]any{"band.0.poorer": 0.6})
-	i.callTook, i.calls = 0.2, 1
-	i.Arrived(0, 0, of(0))
-	i.Arrived(0, 1, of(1))
-	i.Settle(0)
-	i.AtCall(0, 0)
-	i.AtCall(0, 1)
-	i.Settle(0)
-	b.Wants(t, 1, "omit 0")
-	b.Wants(t, 1, "call 1")
-}
-
 func TestSlowCallsUseLessOfTheShare(t *testing.T) {
 	i, _ := fresh(nil)
 	i.callTook = 0.2
@@ -580,18 +567,17 @@
 	b.Wants(t, 2, "start") // as many stand as there are cores
 }
 
-func TestLongStandIsLeftOutAndNoFurtherCallerStarts(t *testing.T) {
-	i, b := fresh(map[string]any{"band.0.poorer": 0.6, "calls_share": 1.0})
+func TestNoFurtherCallerStartsBehindOneThatStands(t *testing.T) {
+	i, b := fresh(map[string]any{"calls_share": 1.0})
 	i.calls, i.onCores, i.width = 1, 1, 4
 	i.Arrived(0, 0, of(0))
 	i.Settle(0)
 	i.AtCall(0, 0)
 	i.Arrived(0, 1, of(2))
 	i.Settle(140 * ms)
-	b.Wants(t, 0, "omit 0")
 	b.Wants(t, 0, "start 1")
+	i.calls = 0
 	i.Settle(160 * ms)
-	b.Wants(t, 1, "omit 0")
 	b.Wants(t, 1, "start 1")
 }
 
