--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -90,6 +90,22 @@
 	b.Wants(t, 1, "scrap 0")
 }
 
+func TestWhatIsGivenUpIsAnsweredAtOnce(t *testing.T) {
+	i, b := fresh(nil)
+	i.bands[0].span, i.bands[0].latency = 0.5, 0.5
+	busy(i, 0, 1) // of 1 s of due time and 3 s of patience; a run of 0.5 s fits in no more from 0.6 s on
+	i.Tick(500*ms, Gauges{Busy: -1})
+	b.Wants(t, 0, "back 2")
+	i.Tick(700*ms, Gauges{Busy: -1})
+	b.Wants(t, 1, "back 2")
+	if strings.Contains(strings.Join(b.Lines, "\n"), "after=0s") {
+		t.Errorf("no word when to come back: %q", b.Lines)
+	}
+	i.Tick(980*ms, Gauges{Busy: -1}) // and what runs past its use, two seconds before its patience is over
+	b.Wants(t, 1, "scrap 0")
+	b.Wants(t, 1, "scrap 1")
+}
+
 func TestReceiptIsRecordedBeforeTheRun(t *testing.T) {
 	i, b := fresh(nil)
 	i.Arrived(0, 0, of(1))
