--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -160,6 +160,27 @@
 	s.wants(t, 1, "start c")
 }
 
+// Of a receipt's two windows the longer holds, whichever settings are in force when the repeat comes.
+func TestReceiptKeepsTheLongerOfItsWindows(t *testing.T) {
+	for _, later := range []float64{90, 1} {
+		n, s := up(nil) // with windows of 10 s
+		n.ask(s, "a", "receipted", "k", 0)
+		n.End("a", policy.OK, time.Millisecond, []byte("r"))
+		n.Round()
+		site, err := n.site.Over(told.Site{Told: aid.Told(map[string]any{"band.1.window_s": later}), Bands: n.site.Bands})
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.Retell(site)
+		n.Round()
+		n.start = n.start.Add(-max(time.Duration(later)*time.Second, 10*time.Second) + time.Second)
+		n.ask(s, "b", "receipted", "k", 0)
+		s.wants(t, 1, "start a")
+		s.wants(t, 0, "start b")
+		s.wants(t, 1, "answer b 0 r")
+	}
+}
+
 func TestResultOfAnOldWindowIsNotLentToTheNext(t *testing.T) {
 	n, s := up(nil)
 	n.ask(s, "a", "receipted", "key", 0)
