A change of health gets its log line; the value's earlier form is not sent after a switch

Read once more: after a switch to free value 'off' the node went on sending the last value; now it is left out until said anew. health() changed the mode without a line.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -242,7 +242,7 @@
 		for i, name := range n.site.Bands {
 			before[name] = n.window(i)
 		}
-		n.site = site
+		n.site, n.free = site, -1 // the value in its earlier form must not go on: the module says it anew
 		n.names()
 		for key, r := range n.receipts {
 			band, _, _ := strings.Cut(key, " ")
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -171,8 +171,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		n.free = 0.5
 		n.Retell(site)
 		n.Round()
+		if n.free >= 0 {
+			t.Errorf("%v is still sent, in the earlier form", n.free)
+		}
 		n.start = n.start.Add(-max(time.Duration(later)*time.Second, 10*time.Second) + time.Second)
 		n.ask(s, "b", "receipted", "k", 0)
 		s.wants(t, 1, "start a")
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -83,7 +83,7 @@
 	customers []customer
 	items     []item          // by index; as long as the most live at one time
 	held      []int           // emptied by a start, a turn-back or the caller's leaving
-	standing  []int           // at a call not out; emptied by the call, its omission or an answer
+	standing  []int           // at a call not out; emptied by the call or an answer
 	receipts  []time.Duration // ends of those in the key table; emptied by time and by Forget
 	lingering []time.Duration // ends of calls given up; emptied by time
 	from      map[int]bool    // callers read in this period; emptied each period
@@ -744,6 +744,7 @@
 	if i.jams >= dampening && i.grace == math.MaxInt64 {
 		i.jams, i.unfit = 0, !i.unfit
 		i.host.Health(!i.unfit, true)
+		i.host.Log("unfit %v: %.2f s unread, %.2f of the read are repeats", i.unfit, i.unread, i.repeats)
 	}
 }
 
