Idle time starts at the least and aims at half an intake a core, moved by a tenth

At fault: a first idle time of a quarter, up from there as the intake of a healthy second was held too much (a quarter a core).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -15,19 +15,19 @@
 
 const (
 	ms                   = time.Millisecond
-	sweepGap             = 20 * ms    // between two Ticks
-	period               = 500 * ms   // between two samples of lag
-	duePart              = 0.4        // of the bands' due times, in base latencies: lag over it is a crossing
-	baseDrift            = 0.003      // a base latency's way back to the recent one, a period
-	dampening            = 2          // crossings in a row before the flag goes up
-	shedGain             = 0.3        // part of the share turned back that the free value takes over a period
-	margin               = 40 * ms    // answers leave so long before they are due
-	stall                = 100 * ms   // a Tick so late tells of a standstill
-	leastIdle, firstIdle = 0.1, 0.25  // part of the callers' own time after which idle connections close
-	intakePart, doorGain = 0.25, 0.05 // connections and reads in hand a core, aimed at; change a period
-	everywhere           = 0.05       // share turned back over which other servers are taken to be no better off
-	repeatsElse          = 0.1        // the same told by the share of marked repeats read, for the list
-	shareSlack           = 8.0        // items of a customer that may come at once, if two seconds' share is less
+	sweepGap             = 20 * ms  // between two Ticks
+	period               = 500 * ms // between two samples of lag
+	duePart              = 0.4      // of the bands' due times, in base latencies: lag over it is a crossing
+	baseDrift            = 0.003    // a base latency's way back to the recent one, a period
+	dampening            = 2        // crossings in a row before the flag goes up
+	shedGain             = 0.3      // part of the share turned back that the free value takes over a period
+	margin               = 40 * ms  // answers leave so long before they are due
+	stall                = 100 * ms // a Tick so late tells of a standstill
+	leastIdle            = 0.1      // part of the callers' own time after which idle connections close, at first
+	intakePart, doorGain = 0.5, 0.1 // connections and reads in hand a core, aimed at; change a period
+	everywhere           = 0.05     // share turned back over which other servers are taken to be no better off
+	repeatsElse          = 0.1      // the same told by the share of marked repeats read, for the list
+	shareSlack           = 8.0      // items of a customer that may come at once, if two seconds' share is less
 
 	shedDown, shedEase, shedMost    = 0.1, 0.03, 0.95 // free value: down a calm period, a light one; most
 	busyRoom, busyFull              = 0.9, 0.97       // cores so busy let one more run, one fewer
@@ -108,7 +108,7 @@
 // New makes the instance of a server that has just started.
 func New(h Host, seed uint64, told map[string]any) *Instance {
 	i := &Instance{host: h, chance: seed&0xffffffff | 1<<32, stopAt: math.MaxInt64, grace: math.MaxInt64,
-		callUse: 1, open: firstIdle, nextSample: period, wanted: sweepGap, from: map[int]bool{}}
+		callUse: 1, open: leastIdle, nextSample: period, wanted: sweepGap, from: map[int]bool{}}
 	i.take(told)
 	i.width = float64(i.cores)
 	h.Health(true, true)
