--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -1,7 +1,8 @@
 // Package config is the one place where the program's configuration is read, checked and given defaults, at the
 // start and again while it runs. It takes GW_CONFIG (the JSON file), and GW_NAME and GW_LISTEN, which win over the
 // file's name and listen. Every error names the faulty key, what was found and what is expected. Unknown keys are
-// ignored. It must never open anything but that file, nor judge the settings' own figures: those are the module's.
+// ignored; what of the settings can't be meant told.Fault says. It must never open anything but that file, nor judge
+// whether the settings' figures are wise: that is the module's.
 package config
 
 import (
--- a/internal/told/told.go
+++ b/internal/told/told.go
@@ -1,5 +1,6 @@
 // Package told owns the words in which a deployment states its settings, and turns them into the plain map
-// that the decision module takes. Both adapters share it. It must never hold a value of its own, nor leave out
+// that the decision module takes. Both adapters share it. It puts later settings over those in force, and says which
+// can't be meant. It must never hold a value of its own, nor leave out
 // or bend a told one: what is missing stays missing, and the module chooses its own default.
 package told
 
