Read once more: a receipt's window grows once only; checks by whole keys; calls to a tier bounded

- node.Retell lengthened a receipt again each time it went there and back; a receipt now knows the window by which its end counts, and its band, so no key is taken apart.
The test goes there three times, and fails without the guard.
- told.Fault took 'repeat' and 'worth_by' wherever they stood and passed by calls_by_class and quota_per_s; now by whole keys.
- said_for_s was read and used by nothing: out.
One comparison of settings instead of two.

--- a/cmd/thymechute/serve.go
+++ b/cmd/thymechute/serve.go
@@ -96,9 +96,11 @@
 						log.Error("configuration not taken, the old one stays", zap.Error(err))
 						return
 					}
-					log.Info("configuration read again", zap.Bool("settings", !reflect.DeepEqual(site, g.Site)), zap.String("runtime", later.Runtime), zap.String("index", later.Index),
-						zap.String("directory", later.Catalog), zap.Strings("not changed while running", g.Fixed(later)))
-					if !reflect.DeepEqual(site, g.Site) {
+					changed := !reflect.DeepEqual(site, g.Site)
+					log.Info("configuration read again", zap.Bool("settings", changed), zap.String("runtime", later.Runtime),
+						zap.String("index", later.Index), zap.String("directory", later.Catalog),
+						zap.Strings("not changed while running", g.Fixed(later)))
+					if changed {
 						g.Site = site
 						inst.Retell(site)
 					}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,7 +11,6 @@
 	"hash/maphash"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -154,7 +153,9 @@
 // receipt is what is known of a key. It stands until its end, whether or not its try is still here.
 type receipt struct {
 	w       int // of the try that has the entry; policy.GoneForerunner once that is released
+	band    int
 	end     time.Duration
+	window  time.Duration // by which its end counts
 	over    bool // the run has ended, or never will
 	ok      bool
 	body    uint64 // digest: all tries of one request carry the same body
@@ -238,16 +239,11 @@
 // is in hand goes on. A receipt is kept for the longer of its two windows.
 func (n *Instance) Retell(site told.Site) {
 	n.put(func() {
-		before := map[string]time.Duration{}
-		for i, name := range n.site.Bands {
-			before[name] = n.window(i)
-		}
 		n.site, n.free = site, -1 // the value in its earlier form must not go on: the module says it anew
 		n.names()
-		for key, r := range n.receipts {
-			band, _, _ := strings.Cut(key, " ")
-			if i := slices.Index(site.Bands, band); i >= 0 && n.kind(i) == "receipted" {
-				r.end += max(n.window(i)-before[band], 0)
+		for _, r := range n.receipts {
+			if window := n.window(r.band); window > r.window { // once only, however often it goes there and back
+				r.end, r.window = r.end+window-r.window, window
 			}
 		}
 		if n.mod != nil {
@@ -763,7 +759,8 @@
 		n.receipts[key] = r
 		n.kept += entryBytes
 	}
-	r.w, r.end, r.body = w, n.now+life, n.digest(n.items[w].body)
+	it := &n.items[w]
+	r.w, r.end, r.body, r.band, r.window = w, n.now+life, n.digest(it.body), it.band, n.window(it.band)
 }
 
 // Forget takes the receipt out.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -172,11 +172,23 @@
 			t.Fatal(err)
 		}
 		n.free = 0.5
+		here, end := n.site, time.Duration(0)
+		for range 3 { // there, back, and there again
+			n.Retell(site)
+			n.Round()
+			if r := n.receipts["receipted k"]; end == 0 {
+				end = r.end
+			} else if r.end != end {
+				t.Errorf("ends at %v, at %v after the first switch", r.end, end)
+			}
+			if n.free >= 0 {
+				t.Errorf("%v is still sent, in the earlier form", n.free)
+			}
+			n.Retell(here)
+			n.Round()
+		}
 		n.Retell(site)
 		n.Round()
-		if n.free >= 0 {
-			t.Errorf("%v is still sent, in the earlier form", n.free)
-		}
 		n.start = n.start.Add(-max(time.Duration(later)*time.Second, 10*time.Second) + time.Second)
 		n.ask(s, "b", "receipted", "k", 0)
 		s.wants(t, 1, "start a")
--- a/internal/told/told.go
+++ b/internal/told/told.go
@@ -1,7 +1,7 @@
 // Package told owns the words in which a deployment states its settings, and turns them into the plain map
-// that the decision module takes. Both adapters share it. It puts later settings over those in force, and says which
-// can't be meant. It must never hold a value of its own, nor leave out
-// or bend a told one: what is missing stays missing, and the module chooses its own default.
+// that the decision module takes. Both adapters share it. It puts later settings over those in force, and says
+// which can't be meant. It must never hold a value of its own, nor leave out or bend a told one: what is missing stays
+// missing, and the module chooses its own default.
 package told
 
 import (
@@ -138,40 +138,45 @@
 	flat := map[string]any{}
 	flatten("", settings, flat)
 	for _, key := range slices.Sorted(maps.Keys(flat)) {
-		_, isFlag := flat[key].(bool)
-		text, isText := flat[key].(string)
-		x, isNumber := flat[key].(float64)
-		word, inClass := key, ""
-		if n, rest, ok := strings.Cut(strings.TrimPrefix(key, "classes."), "."); ok && strings.HasPrefix(key, "classes.") {
-			word, inClass = rest, "classes."+n+"."
-		}
-		switch allowed, limited := words[word]; {
-		case limited:
-			if !isText || !slices.Contains(allowed, text) {
-				return key, flat[key], "one of " + strings.Join(allowed, ", ")
+		v, word := flat[key], unnumbered(key)
+		class, inClass := strings.CutPrefix(word, "classes.")
+		switch allowed := words[word]; {
+		case allowed != nil:
+			if text, ok := v.(string); !ok || !slices.Contains(allowed, text) {
+				return key, v, "one of " + strings.Join(allowed, ", ")
 			}
-		case flags[key]:
-			if !isFlag {
-				return key, flat[key], "true or false"
+		case flags[word]:
+			if _, ok := v.(bool); !ok {
+				return key, v, "true or false"
 			}
-		case names[key] != "" || inClass != "" && bandNames[word] != "":
-			if !isNumber || x < 0 || x > 1e12 {
-				return key, flat[key], "a number from 0 to 1e12"
+		case names[word] != "" || inClass && bandNames[class] != "" || word == "tenants.quota_per_s":
+			x, ok := v.(float64)
+			if !ok || x < 0 || x > 1e12 {
+				return key, v, "a number from 0 to 1e12"
 			}
-			if latest, ok := flat[inClass+"deadline_s"].(float64); word == "aim_s" && ok && x > latest {
-				return key, x, fmt.Sprintf("at most its deadline_s, %g", latest)
+			if at, ok := strings.CutSuffix(key, "aim_s"); ok && inClass {
+				if latest, ok := flat[at+"deadline_s"].(float64); ok && x > latest {
+					return key, v, fmt.Sprintf("at most its deadline_s, %g", latest)
+				}
 			}
 		}
 	}
 	return "", nil, ""
 }
 
+// unnumbered is a key without the places in lists.
+func unnumbered(key string) string {
+	parts := slices.DeleteFunc(strings.Split(key, "."), func(part string) bool { return strings.Trim(part, "0123456789") == "" })
+	return strings.Join(parts, ".")
+}
+
 // What may stand where a word or a flag is expected; every other setting that is read is a number.
 var (
 	words = map[string][]string{"domain.halt": {"off", "abort", "suspend"}, "domain.depends_on": {"off", "shared", "tier"},
 		"domain.say": {"off", "threshold", "window", "share_of"}, "worth_by": {"request", "work"},
-		"repeat": {"repeatable", "by_key", "once"}}
-	flags = map[string]bool{"domain.cold": true, "domain.readiness": true, "policy_limits.retry_after": true}
+		"classes.repeat": {"repeatable", "by_key", "once"}}
+	flags = map[string]bool{"domain.cold": true, "domain.readiness": true, "domain.calls_by_class": true,
+		"policy_limits.retry_after": true}
 )
 
 // row returns the texts of one list until the first that is missing.
@@ -228,7 +233,7 @@
 	"domain.entry_kb": "receipt_kb", "domain.halt": "stop_mode",
 	"domain.say": "free_value", "domain.cold": "cold", "domain.clients_total": "callers",
 	"domain.caller_idle_s": "idle_s", "domain.depends_on": "below", "domain.dep_share": "calls_share",
-	"domain.readiness": "list_follows", "domain.said_for_s": "said_for_s", "domain.linger_s": "calls_linger_s", "domain.dep_window_s": "calls_window_s",
+	"domain.linger_s": "calls_linger_s", "domain.dep_window_s": "calls_window_s", "domain.readiness": "list_follows",
 	"fleet_size": "fleet", "over_share_worth": "over_share_payoff", "worth_by": "payoff_by",
 	"policy_limits.max_retry_after_s": "come_back_s", "policy_limits.retry_after": "come_back",
 	"rules.cold_from": "cold_from", "rules.warm_after_s": "warm_s", "rules.drain_grace_s": "grace_s",
--- a/internal/told/told_test.go
+++ b/internal/told/told_test.go
@@ -53,11 +53,13 @@
 
 func TestFaultsAreNamed(t *testing.T) {
 	for key, settings := range map[string]map[string]any{
-		"":                   site("trace", "repeatable"),
-		"worth_by":           {"worth_by": "weight"},
-		"classes.0.repeat":   site("trace", "sometimes"),
-		"classes.1.aim_s":    {"classes": []any{map[string]any{"name": "a"}, map[string]any{"aim_s": 3.0, "deadline_s": 2.0}}},
-		"rules.warm_after_s": {"rules": map[string]any{"warm_after_s": true}},
+		"":                        site("trace", "repeatable"),
+		"worth_by":                {"worth_by": "weight", "repeat": "unheard", "own": map[string]any{"aim_s": "unheard"}},
+		"tenants.0.quota_per_s":   {"tenants": []any{map[string]any{"quota_per_s": "many"}}},
+		"domain.calls_by_class.1": {"domain": map[string]any{"calls_by_class": []any{true, 1.0}}},
+		"classes.0.repeat":        site("trace", "sometimes"),
+		"classes.1.aim_s":         {"classes": []any{map[string]any{"name": "a"}, map[string]any{"aim_s": 3.0, "deadline_s": 2.0}}},
+		"rules.warm_after_s":      {"rules": map[string]any{"warm_after_s": true}},
 	} {
 		if got, found, want := Fault(settings); got != key || key != "" && (want == "" || found == nil) {
 			t.Errorf("%s: %s found %v, expected %s", key, got, found, want)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,7 +1,7 @@
 // Package policy decides, inside one server, which work items run, wait or are turned back.
 //
 // The adapter makes one Instance with New and calls one method for each thing that happens (Arrived, Ended,
-// AtCall, Returned, CallerGone, Leave, Tick), then Settle once all that came in together has been told. It
+// AtCall, Returned, CallerGone, Retold, Leave, Tick), then Settle once all that came in together was told. It
 // acts through the Host it was given: host.go. Times are spans since the start. Design: docs/design.md.
 package policy
 
@@ -137,8 +137,11 @@
 	i.told, i.stops = told, told["stop_mode"] == "abort" || told["stop_mode"] == "suspend"
 	i.cores = int(min(max(i.num("cores", 1), 1), 4096))
 	i.ram = max(i.num("memory_kb", 1e6), 1)
-	if i.callShare = 1e6; told["below"] == "shared" {
+	switch i.callShare = 1e6; told["below"] {
+	case "shared":
 		i.callShare = max(i.num("calls_share", 1), leastShare)
+	case "tier":
+		i.callShare = max(math.Floor(i.num("crowd", 2)*float64(i.cores)*crowdPart), 1)
 	}
 	for n := range int(min(max(i.num("band.count", 1), 1), 1000)) {
 		if n == len(i.bands) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -246,6 +246,13 @@
 	b.Wants(t, 3, "call")
 }
 
+func TestCallsToATierBelowStayWithinTheCrowd(t *testing.T) {
+	i, _ := fresh(map[string]any{"below": "tier"})
+	if i.callShare != 6 { // three quarters of a crowd of four a core, on two cores
+		t.Errorf("%v calls in hand", i.callShare)
+	}
+}
+
 // All servers of a fleet have such a call out when what lies below slows: their sum must stay survivable.
 func TestCallUnderAWholeShareIsCutBeforeItsPartIsUsed(t *testing.T) {
 	i, _ := fresh(map[string]any{"calls_share": 0.5, "calls_window_s": 5.0})
