--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -156,7 +156,7 @@
 	band    int
 	end     time.Duration
 	window  time.Duration // by which its end counts
-	over    bool // the run has ended, or never will
+	over    bool          // the run has ended, or never will
 	ok      bool
 	body    uint64 // digest: all tries of one request carry the same body
 	result  []byte
