--- /dev/null
+++ b/policy/calls.go
@@ -0,0 +1,103 @@
+// This file owns the calls below and their share. It must never repeat one that may have had its effect.
+
+package policy
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// AtCall: a run stands at a call.
+func (i *Instance) AtCall(now time.Duration, w int) {
+	if it := &i.items[w]; it.state == running {
+		i.onCores--
+		it.state, it.since = atCall, now
+		i.standing = append(i.standing, w)
+	}
+}
+
+// serveCalls issues the calls that may be out; while calls fail, only a trial.
+func (i *Instance) serveCalls(now time.Duration) {
+	down := i.fails >= failures
+	for len(i.standing) > 0 {
+		out, share := i.meter(now)
+		w := slices.MaxFunc(i.standing, i.byDensity(now, -1)) // of equal ones the newest: it has time for its call
+		it := &i.items[w]
+		late := i.calls > 0 && (it.use-now).Seconds() < i.callTook // it would be cut, and waste what lies below
+		if late || out >= share || out+1 > share && i.overCalled > 0 || down && (i.calls > 0 || now < i.nextTrial) {
+			return
+		}
+		patience := min(it.use, it.due-margin) - now
+		if out+1 > share {
+			window := partCall * min(i.callShare-out, 1) * i.span("calls_window_s", 1).Seconds()
+			patience = min(patience, time.Duration(window*1e9)-i.span("calls_linger_s", 0))
+		}
+		i.standing = without(i.standing, w)
+		it.state, i.calls = calling, i.calls+1
+		i.host.Call(w, max(patience, 10*ms))
+	}
+}
+
+func (i *Instance) resume(now time.Duration, w int) { // from a call, back on the cores
+	it := &i.items[w]
+	i.standing = without(i.standing, w)
+	it.callTime, it.state = it.callTime+now-it.since, running
+	i.onCores++
+}
+
+// callOver books a call that is out no longer; a call given up stays below for a while.
+func (i *Instance) callOver(now time.Duration, given bool) {
+	i.meter(now)
+	i.calls--
+	if given {
+		i.lingering = append(i.lingering, now+i.span("calls_linger_s", 0))
+	}
+}
+
+// meter tells the calls in hand and the share in use, and keeps the call-seconds used beyond the mean that
+// may be. Of the told share's part beyond whole calls a window's use is at most partUse in the mean,
+// savedCalls saved up and partCall by one call, all of it: where what lies below slows, all do this.
+func (i *Instance) meter(now time.Duration) (out, share float64) {
+	out, share = float64(i.calls+len(i.lingering)), i.callShare*i.callUse
+	whole, part := math.Modf(i.callShare)
+	spent := i.overCalled + (out-min(meanCalls*share, whole+partUse*part))*(now-i.metered).Seconds()
+	i.overCalled, i.metered = max(spent, -savedCalls*part*i.span("calls_window_s", 1).Seconds()), now
+	return out, share
+}
+
+func (i *Instance) slowBelow() bool { return i.callTook > callSlow*i.bands[0].due.Seconds() }
+
+// Returned is the end of a call.
+func (i *Instance) Returned(now time.Duration, w int, o Outcome, took time.Duration) {
+	it := &i.items[w]
+	if it.state != calling {
+		return
+	}
+	i.callOver(now, o == TimedOut || o == Reset || o == Unclear)
+	i.resume(now, w)
+	cut := o == TimedOut && took.Seconds() < i.callTook // had less time than calls take
+	if o == OK || o == TimedOut && !cut {               // what is turned away tells nothing of a call's time
+		learn(&i.callTook, took.Seconds(), 7)
+	}
+	if o == OK {
+		if i.fails >= failures {
+			i.host.Log("calls back after a trial of %v", took)
+		}
+		i.fails = 0
+		return
+	}
+	if !cut { // it must not stop calls, nor be the trial that keeps them stopped
+		i.nextTrial = now + trialGap
+		if i.fails++; i.fails == failures {
+			i.host.Log("calls stopped: %d failed in a row", i.fails)
+		}
+	}
+	b := &i.bands[it.Band]
+	i.AtCall(now, w)
+	if it.answered {
+		i.halt(it, w)
+	} else if b.kind != "pure" && !o.NeverRan() || now >= it.use {
+		i.scrap(now, w)
+	}
+}
--- /dev/null
+++ b/policy/ends.go
@@ -0,0 +1,98 @@
+// This file owns due times: each work item gets its answer by then. It must never turn back what ran.
+
+package policy
+
+import (
+	"slices"
+	"time"
+)
+
+// scrap answers a work item that has run; what is on the cores goes on unless it can be stopped.
+func (i *Instance) scrap(now time.Duration, w int) {
+	it, b := &i.items[w], &i.bands[i.items[w].Band]
+	i.sample(now, it)
+	if took := (now - it.began).Seconds(); took > b.span {
+		learn(&b.latency, max(took-it.callTime.Seconds(), b.latency), 16) // a run cut off took at least so long
+		learn(&b.span, took, 16)
+	}
+	it.answered = true
+	i.host.Scrap(w)
+	i.halt(it, w)
+}
+
+func (i *Instance) halt(it *item, w int) {
+	i.standing = without(i.standing, w)
+	if it.state == running && i.stops {
+		i.host.Stop(w)
+	}
+}
+
+// CallerGone: nobody waits for this work item any more, so no answer is owed.
+func (i *Instance) CallerGone(now time.Duration, w int) {
+	it := &i.items[w]
+	if it.state == held || it.state == joined {
+		i.drop(w)
+	} else if it.answered = true; i.bands[it.Band].kind == "pure" || it.state == atCall {
+		i.halt(it, w)
+	}
+}
+
+// Leave: this server stops after left; all that it has read must be answered before.
+func (i *Instance) Leave(now, left time.Duration) {
+	i.stopAt = now + left - 3*sweepGap - margin
+	i.grace = now + i.span("grace_s", 0) - margin
+	for w := range i.items {
+		it := &i.items[w]
+		it.due, it.use = min(it.due, i.stopAt), min(it.use, i.stopAt)
+	}
+	i.host.Health(false, true)
+	i.host.Log("leaving: %d held, %d on cores, %v left", len(i.held), i.onCores, left)
+}
+
+// Tick comes every sweepGap: due times, and the sample of lag once a period.
+func (i *Instance) Tick(now time.Duration, g Gauges) {
+	if now-i.wanted > stall {
+		// A standstill stretches one sample: it is not held against the healthy spell after it.
+		i.sum, i.count = [2]float64{}, [2]float64{}
+		i.nextSample = now + period
+	}
+	i.wanted = now + sweepGap
+	i.host.Wake(i.wanted)
+	past := func(end time.Duration) bool { return end <= now }
+	i.meter(now)
+	kept := len(i.receipts)
+	i.receipts, i.lingering = slices.DeleteFunc(i.receipts, past), slices.DeleteFunc(i.lingering, past)
+	i.memory -= float64(kept-len(i.receipts)) * i.num("receipt_kb", 0)
+	for w := range i.items {
+		it := &i.items[w]
+		if it.state == absent || it.answered {
+			continue
+		}
+		late, worthless := now >= it.due-margin, now >= it.use
+		switch {
+		case it.state == held:
+			if late || i.density(now, w) <= 0 {
+				i.turnBack(now, w, true)
+			}
+		case it.state == joined && late:
+			i.host.Scrap(w)
+			i.drop(w)
+		case it.state != joined && (late || worthless && i.stops):
+			i.scrap(now, w)
+		}
+	}
+	if beside := g.Runnable - float64(i.onCores); g.Runnable >= 0 {
+		i.intake, i.ticks = i.intake+max(beside, 0), i.ticks+1
+		if beside < float64(i.cores) {
+			i.unread *= jamFade // a core is free to read, so nothing waits unread
+		}
+	}
+	i.say(now)
+	if i.waiting() > 0 {
+		i.waited++
+	}
+	if now >= i.nextSample {
+		i.judge(now, g)
+		i.nextSample = now + period
+	}
+}
