Calls are left out again where the settings pay for answers without them

OMIT had gone out with the deployments that paid for it; the setting degraded_worth is in all three new ones and the adapter did not pass it on. Back are LeaveOut, the settings degraded_worth and late_value (paid by two of the three), with tests that the code before fails. The assumption that fell: nothing is paid for late or poorer answers.

--- a/internal/aid/aid.go
+++ b/internal/aid/aid.go
@@ -37,6 +37,7 @@
 }
 func (b *Book) Scrap(w int)                      { b.put("scrap %d", w) }
 func (b *Book) Call(w int, p time.Duration)      { b.put("call %d", w) }
+func (b *Book) LeaveOut(w int)                   { b.put("omit %d", w) }
 func (b *Book) Record(w int, life time.Duration) { b.put("record %d for %v", w, life) }
 func (b *Book) Forget(w int)                     { b.put("forget %d", w) }
 func (b *Book) Join(w int)                       { b.put("join %d", w) }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -260,11 +260,12 @@
 
 func (h *host) say(name string, pairs ...any) { h.out = wire.Line(h.out, name, pairs...) }
 
-func (h *host) Start(w int)  { h.say("RUN", "ticket", h.ticket[w]) }
-func (h *host) Stop(w int)   { h.say("TAKE_OFF", "ticket", h.ticket[w]) }
-func (h *host) Scrap(w int)  { h.say("ERROR", "ticket", h.ticket[w]) }
-func (h *host) Forget(w int) { h.say("RELEASE_KEY", "ticket", h.ticket[w]) }
-func (h *host) Join(w int)   { h.say("ATTACH", "ticket", h.ticket[w]) }
+func (h *host) Start(w int)    { h.say("RUN", "ticket", h.ticket[w]) }
+func (h *host) Stop(w int)     { h.say("TAKE_OFF", "ticket", h.ticket[w]) }
+func (h *host) Scrap(w int)    { h.say("ERROR", "ticket", h.ticket[w]) }
+func (h *host) LeaveOut(w int) { h.say("OMIT", "ticket", h.ticket[w]) }
+func (h *host) Forget(w int)   { h.say("RELEASE_KEY", "ticket", h.ticket[w]) }
+func (h *host) Join(w int)     { h.say("ATTACH", "ticket", h.ticket[w]) }
 func (h *host) TurnBack(w int, comeBack time.Duration, no bool) {
 	h.say("NOT_NOW", "ticket", h.ticket[w], "pause_s", comeBack, "final", no)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,6 +101,7 @@
 	Start(rid, band string, body []byte)
 	Stop(rid string)
 	Give(rid string, reply []byte)
+	LeaveOut(rid string)
 	Gauges()
 	SelfTest(tag string)
 }
@@ -744,6 +745,9 @@
 	n.below.Call(it.rid, patience, it.call)
 }
 
+// LeaveOut goes on without it.
+func (n *Instance) LeaveOut(w int) { n.runtime.LeaveOut(n.items[w].rid) }
+
 func (n *Instance) digest(body []byte) uint64 { return maphash.Bytes(n.digests, body) }
 
 // Record enters the receipt, or moves it to this try.
--- a/internal/told/told.go
+++ b/internal/told/told.go
@@ -36,11 +36,12 @@
 	list(flat, told, "tenants.", "customer.", customerNames)
 	for i := 0; ; i++ {
 		n := strconv.Itoa(i)
-		calls, ok := flat["domain.calls_by_class."+n]
-		if !ok {
+		calls, ok1 := flat["domain.calls_by_class."+n]
+		poorer, ok2 := flat["domain.degraded_worth."+n]
+		if !ok1 && !ok2 {
 			break
 		}
-		told["band."+n+".calls"] = calls
+		told["band."+n+".calls"], told["band."+n+".poorer"] = calls, poorer
 	}
 	return Site{Told: told, Gauges: row(flat, "domain.gauges.", ""), Bands: row(flat, "classes.", ".name"),
 		Customers: row(flat, "tenants.", ".name")}
@@ -149,7 +150,7 @@
 			if _, ok := v.(bool); !ok {
 				return key, v, "true or false"
 			}
-		case names[word] != "" || inClass && bandNames[class] != "" || word == "tenants.quota_per_s":
+		case names[word] != "" || word == "domain.degraded_worth" || inClass && bandNames[class] != "" || word == "tenants.quota_per_s":
 			x, ok := v.(float64)
 			if !ok || x < 0 || x > 1e12 {
 				return key, v, "a number from 0 to 1e12"
@@ -241,7 +242,7 @@
 }
 
 var bandNames = map[string]string{
-	"aim_s": "due_s", "deadline_s": "patience_s", "repeat": "kind",
+	"aim_s": "due_s", "deadline_s": "patience_s", "late_value": "late_payoff", "repeat": "kind",
 	"window_s": "window_s", "worth": "payoff",
 }
 
--- a/policy/calls.go
+++ b/policy/calls.go
@@ -17,9 +17,18 @@
 	}
 }
 
-// serveCalls issues the calls that may be out; while calls fail, only a trial.
+// serveCalls issues the calls that may be out. While calls fail or take much of a due time, and after a long
+// stand, bands that can do without leave them out, but for a trial, so that the rest finds room below.
 func (i *Instance) serveCalls(now time.Duration) {
-	down := i.fails >= failures
+	down, trial := i.fails >= failures, i.calls == 0 && now >= i.nextTrial
+	spare := (down || i.slowBelow()) && !trial
+	for _, w := range slices.Clone(i.standing) {
+		b, stood := &i.bands[i.items[w].Band], now-i.items[w].since
+		if b.poorer > 0 && (spare || stood.Seconds() > standPart*b.due.Seconds()) {
+			i.resume(now, w)
+			i.host.LeaveOut(w)
+		}
+	}
 	for len(i.standing) > 0 {
 		out, share := i.meter(now)
 		w := slices.MaxFunc(i.standing, i.byDensity(now, -1)) // of equal ones the newest: it has time for its call
@@ -94,6 +103,10 @@
 		}
 	}
 	b := &i.bands[it.Band]
+	if !it.answered && b.poorer > 0 {
+		i.host.LeaveOut(w)
+		return
+	}
 	i.AtCall(now, w)
 	if it.answered {
 		i.halt(it, w)
--- a/policy/cores.go
+++ b/policy/cores.go
@@ -27,7 +27,7 @@
 func (i *Instance) Settle(now time.Duration) {
 	i.serveCalls(now)
 	for i.room(now) > 0 && len(i.held) > 0 {
-		// None that may need a call starts behind one that stands for its, or for a trial.
+		// None that can't do without a call starts behind one that stands for its, or for a trial.
 		idle := 2*i.onCores < i.cores && len(i.standing) < i.cores // trying costs nothing: not all come to a call
 		stopped := !idle && (len(i.standing) > 0 || i.fails >= failures && i.calls > 0)
 		best, most := -1, 0.0
@@ -39,7 +39,7 @@
 				continue
 			}
 			it, b := &i.items[w], &i.bands[i.items[w].Band]
-			if stopped && b.calls || !i.fits(it.KB*(i.num("run_memory", 1)-1)) {
+			if stopped && b.calls && b.poorer == 0 || !i.fits(it.KB*(i.num("run_memory", 1)-1)) {
 				continue
 			}
 			if d > most || d == most && it.use <= i.items[best].use {
--- a/policy/host.go
+++ b/policy/host.go
@@ -10,6 +10,7 @@
 	TurnBack(w int, comeBack time.Duration, no bool) // unserved; no: another server won't help
 	Scrap(w int)                                     // final answer: an error
 	Call(w int, patience time.Duration)              // issue the call that the work item stands at
+	LeaveOut(w int)                                  // go on without that call
 	Record(w int, life time.Duration)                // enter its receipt in the key table
 	Forget(w int)                                    // take the receipt out
 	Join(w int)                                      // answer a repeat from its forerunner's result
--- a/policy/instance.go
+++ b/policy/instance.go
@@ -38,7 +38,7 @@
 	leastFit, fill                  = 0.8, 0.95       // of its run that must fit; of memory that is used
 	failures, trialGap              = 5, 500 * ms     // calls failed in a row before they stop; between trials
 	leastSaid, leastWindow          = 0.01, 0.1       // change of the free value worth saying; a caller's window
-	callSlow                        = 0.1             // of a due time: slow calls
+	callSlow, standPart             = 0.1, 0.15       // of a due time: slow calls; longest optional stand
 	leastCalls                      = 0.05            // of the share of calls: least used
 	partUse, savedCalls, partCall   = 0.5, 0.1, 0.4   // of a part of a call: steady use; saved up; by one call
 	meanCalls                       = 0.9             // of the share in use, in the mean
@@ -67,7 +67,7 @@
 
 type band struct {
 	kind                                string
-	payoff                              float64
+	payoff, late, poorer                float64 // late, poorer: parts of it paid for a late answer, one without its call
 	due, patience, window               time.Duration
 	calls                               bool
 	base, latency, span, perHint, ended float64 // seconds: least seen, recent run less calls, recent run
@@ -149,6 +149,7 @@
 		at, b := fmt.Sprintf("band.%d.", n), &i.bands[n]
 		b.kind, _ = told[at+"kind"].(string) // what is no kind told here is as good as effectful
 		b.payoff, b.calls = i.num(at+"payoff", 1), told[at+"calls"] == true
+		b.late, b.poorer = i.num(at+"late_payoff", 0), i.num(at+"poorer", 0)
 		b.due, b.patience, b.window = i.span(at+"due_s", 1), i.span(at+"patience_s", 2), i.span(at+"window_s", 10)
 	}
 	for n := range int(min(i.num("customer.count", 0), 10000)) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -567,6 +567,47 @@
 	}
 }
 
+func TestSlowCallsAreLeftOutWhereTheyCanBe(t *testing.T) {
+	i, b := fresh(map[string]any{"band.0.poorer": 0.6})
+	i.callTook, i.calls = 0.2, 1
+	i.Arrived(0, 0, of(0))
+	i.Arrived(0, 1, of(1))
+	i.Settle(0)
+	i.AtCall(0, 0)
+	i.AtCall(0, 1)
+	i.Settle(0)
+	b.Wants(t, 1, "omit 0")
+	b.Wants(t, 1, "call 1")
+}
+
+func TestLongStandAndFailedCallAreLeftOut(t *testing.T) {
+	i, b := fresh(map[string]any{"band.0.poorer": 0.6, "calls_share": 1.0})
+	i.Arrived(0, 0, of(0))
+	i.Arrived(0, 1, of(0))
+	i.Settle(0)
+	i.AtCall(0, 0)
+	i.AtCall(0, 1)
+	i.Settle(0)
+	b.Wants(t, 1, "call") // the share has room for one
+	i.Settle(160 * ms)
+	b.Wants(t, 1, "omit 1")
+	i.Returned(170*ms, 0, TimedOut, 170*ms)
+	b.Wants(t, 1, "omit 0") // that it may have run is no bar: it is not called again
+	b.Wants(t, 0, "scrap 0")
+}
+
+func TestLateAnswerIsRunForWhereItPays(t *testing.T) {
+	for late, starts := range map[float64]int{0: 0, 0.2: 1} {
+		i, b := fresh(map[string]any{"band.0.late_payoff": late})
+		i.bands[0].span, i.bands[0].latency = 0.5, 0.5
+		busy(i, 0, 1)
+		i.Tick(980*ms, Gauges{Busy: -1}) // past use: the held one can only be late
+		i.Ended(980*ms, 0, OK, 500*ms)
+		i.Settle(980 * ms)
+		b.Wants(t, starts, "start 2")
+	}
+}
+
 func TestSlowCallsUseLessOfTheShare(t *testing.T) {
 	i, _ := fresh(nil)
 	i.callTook = 0.2
