Calls to a tier that guards itself are left out only where they would come too late

Slowness now spares only what is shared; anywhere a call is left out that has less time than calls took lately. Assumption that fell: slow calls mean a crowd below.

--- a/policy/calls.go
+++ b/policy/calls.go
@@ -21,10 +21,11 @@
 // stand, bands that can do without leave them out, but for a trial, so that the rest finds room below.
 func (i *Instance) serveCalls(now time.Duration) {
 	down, trial := i.fails >= failures, i.calls == 0 && now >= i.nextTrial
-	spare := (down || i.slowBelow()) && !trial
+	spare := (down || i.told["below"] == "shared" && i.slowBelow()) && !trial
 	for _, w := range slices.Clone(i.standing) {
-		b, stood := &i.bands[i.items[w].Band], now-i.items[w].since
-		if b.poorer > 0 && (spare || stood.Seconds() > standPart*b.due.Seconds()) {
+		b, it := &i.bands[i.items[w].Band], &i.items[w]
+		long := (now-it.since).Seconds() > standPart*b.due.Seconds() || (it.use-now).Seconds() < i.callTook
+		if b.poorer > 0 && (spare || long) {
 			i.resume(now, w)
 			i.host.LeaveOut(w)
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -580,6 +580,19 @@
 	b.Wants(t, 1, "call 1")
 }
 
+func TestCallsThatTakeLongByNatureAreMadeWhereTheyFit(t *testing.T) {
+	for took, omits := range map[time.Duration]int{300 * ms: 0, 1200 * ms: 1} {
+		i, b := fresh(map[string]any{"band.0.poorer": 0.6, "below": "tier"}) // a tier guards itself: slow is no crowd there
+		i.callTook, i.calls = took.Seconds(), 1
+		i.Arrived(0, 0, of(0))
+		i.Settle(0)
+		i.AtCall(0, 0)
+		i.Settle(0)
+		b.Wants(t, omits, "omit 0") // of 1 s of due time
+		b.Wants(t, 1-omits, "call 0")
+	}
+}
+
 func TestLongStandAndFailedCallAreLeftOut(t *testing.T) {
 	i, b := fresh(map[string]any{"band.0.poorer": 0.6, "calls_share": 1.0})
 	i.Arrived(0, 0, of(0))
