More run at once only where runs leave cores idle while all that may run do and work waits

Cause: width grew when the cores were under 0.9 busy over half a second and something waited at its end. Ruled out: calls (calls_per_core_high 0.5), connections (none refused in the first ten seconds). Now the gauge of the runnable is read at the Ticks at which the width binds. The assumption that fell: a share under 0.9 busy means that runs wait on a disk.

--- a/policy/ends.go
+++ b/policy/ends.go
@@ -87,6 +87,9 @@
 			i.unread *= jamFade // a core is free to read, so nothing waits unread
 		}
 	}
+	if g.Runnable >= 0 && i.onCores >= int(i.width) && len(i.held) > 0 {
+		i.full, i.idleCores = i.full+1, i.idleCores+max(1-g.Runnable/float64(i.cores), 0)
+	}
 	i.say(now)
 	if i.waiting() > 0 {
 		i.waited++
--- a/policy/lag.go
+++ b/policy/lag.go
@@ -62,11 +62,13 @@
 	if i.callUse = min(i.callUse+callsUp, 1); i.slowBelow() {
 		i.callUse = max(i.callUse*callsDown, leastCalls)
 	}
-	if g.Busy >= 0 && g.Busy < busyRoom && i.waiting() > 0 && i.done > 0 {
+	// Runs that wait for a disk leave cores idle, and make room for more: seen while all that may run do and work waits.
+	if idle := i.idleCores / max(i.full, 1); i.full > 0 && idle > 1-busyRoom && i.done > 0 {
 		i.width = min(i.width+1, float64(i.ceiling(now)))
-	} else if g.Busy >= busyFull {
+	} else if i.full > 0 && idle < 1-busyFull {
 		i.width = max(i.width-1, float64(i.cores))
 	}
+	i.idleCores, i.full = 0, 0
 	if i.read > 0 {
 		learn(&i.repeats, float64(i.marked)/float64(i.read), 3)
 		learn(&i.turnedShare, float64(i.turned)/float64(max(i.read, i.turned)), 3)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -621,6 +621,25 @@
 	}
 }
 
+func TestMoreRunOnlyWhereRunsLeaveCoresIdleWhileWorkWaits(t *testing.T) {
+	for _, c := range []struct {
+		runnable float64 // of two cores
+		held     int
+		width    float64 // after a period that began with a width of 3 and ran 3
+	}{{1, 1, 4}, {2, 1, 2}, {1.9, 1, 3}, {0, 0, 3}} {
+		i, _ := fresh(nil)
+		i.width = 3
+		busy(i, 0, 1+c.held)
+		i.done = 1
+		for n := range 5 {
+			i.Tick(time.Duration(n+1)*sweepGap, Gauges{Busy: 0.5, Runnable: c.runnable}) // half idle, as bursts are
+		}
+		if i.judge(period, Gauges{Busy: 0.5}); i.width != c.width {
+			t.Errorf("%v want a core, %d held: width %v, want %v", c.runnable, c.held, i.width, c.width)
+		}
+	}
+}
+
 func TestSlowCallsUseLessOfTheShare(t *testing.T) {
 	i, _ := fresh(nil)
 	i.callTook = 0.2
