--- a/internal/told/told.go
+++ b/internal/told/told.go
@@ -242,7 +242,7 @@
 }
 
 var bandNames = map[string]string{
-	"aim_s": "due_s", "deadline_s": "patience_s", "late_value": "late_payoff", "repeat": "kind",
+	"aim_s": "due_s", "deadline_s": "patience_s", "repeat": "kind",
 	"window_s": "window_s", "worth": "payoff",
 }
 
--- a/policy/ends.go
+++ b/policy/ends.go
@@ -68,7 +68,7 @@
 		if it.state == absent || it.answered {
 			continue
 		}
-		late, worthless := now >= it.due-margin, now >= it.use && i.bands[it.Band].late == 0
+		late, worthless := now >= it.due-margin, now >= it.use
 		switch {
 		case it.state == held:
 			if late || i.density(now, w) <= 0 {
--- a/policy/instance.go
+++ b/policy/instance.go
@@ -67,7 +67,7 @@
 
 type band struct {
 	kind                                string
-	payoff, late, poorer                float64 // late, poorer: parts of it paid for a late answer, one without its call
+	payoff, poorer                      float64 // poorer: the part of it paid for an answer without its call
 	due, patience, window               time.Duration
 	calls                               bool
 	base, latency, span, perHint, ended float64 // seconds: least seen, recent run less calls, recent run
@@ -150,7 +150,7 @@
 		at, b := fmt.Sprintf("band.%d.", n), &i.bands[n]
 		b.kind, _ = told[at+"kind"].(string) // what is no kind told here is as good as effectful
 		b.payoff, b.calls = i.num(at+"payoff", 1), told[at+"calls"] == true
-		b.late, b.poorer = i.num(at+"late_payoff", 0), i.num(at+"poorer", 0)
+		b.poorer = i.num(at+"poorer", 0)
 		b.due, b.patience, b.window = i.span(at+"due_s", 1), i.span(at+"patience_s", 2), i.span(at+"window_s", 10)
 	}
 	for n := range int(min(i.num("customer.count", 0), 10000)) {
--- a/policy/order.go
+++ b/policy/order.go
@@ -25,9 +25,6 @@
 	if it.state == held {
 		// The less of its expected run fits before the due time, the less likely it is of use.
 		chance := min(((it.use-now).Seconds()/whole-leastFit)/(1-leastFit), 1)
-		if (it.due - margin - now).Seconds() > whole {
-			chance = max(chance, b.late)
-		}
 		free := it.Hint > 0 && i.onCores < i.cores && !i.flag
 		if (free || 2*i.onCores < i.cores) && it.use > now {
 			chance = max(chance, idleTry) // guesses mislead, and trying costs an idle server nothing
