--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -28,52 +28,6 @@
 	"github.com/hashicorp/memberlist"
 )
 
-// Version is that of Record; a member with another is refused until both speak it.
-const Version = 1
-
-// Record is what a member says of itself; at most memberlist.MetaMaxSize (512) bytes as JSON.
-type Record struct {
-	V        int     `json:"v"`
-	Name     string  `json:"name"`     // its member name again, so that a record can't be worn by another
-	Zone     string  `json:"zone"`     // up to 64 bytes
-	Epoch    uint64  `json:"epoch"`    // when it joined, in the fleet's epochs; ties go by name
-	Rank     int     `json:"rank"`     // the rank it holds, -1 for none (internal/decide/subset)
-	Capacity float64 `json:"capacity"` // work items a second it can take, 0 and more
-	LagMS    int     `json:"lag_ms"`   // its lag, 0 and more
-	Flag     string  `json:"flag"`     // "", "leaving", "overloaded"
-	Share    float64 `json:"share"`    // of what the fleet sheds, that it holds, 0 to 1
-}
-
-// check says what is wrong with a record heard from name, in one line.
-func (r Record) check(name string) error {
-	switch {
-	case r.V != Version:
-		return fmt.Errorf("record of %q: version found %d, expected %d", name, r.V, Version)
-	case r.Name != name:
-		return fmt.Errorf("record of %q: name found %q, expected its own", name, r.Name)
-	case len(r.Zone) > 64:
-		return fmt.Errorf("record of %q: zone found %d bytes, expected at most 64", name, len(r.Zone))
-	case r.Capacity < 0 || r.LagMS < 0 || r.Share < 0 || r.Share > 1 || r.Rank < -1:
-		return fmt.Errorf("record of %q: capacity %g, lag %d, share %g, rank %d: expected 0 and more, share to 1, rank from -1",
-			name, r.Capacity, r.LagMS, r.Share, r.Rank)
-	case r.Flag != "" && r.Flag != "leaving" && r.Flag != "overloaded":
-		return fmt.Errorf("record of %q: flag found %q, expected leaving, overloaded or none", name, r.Flag)
-	}
-	return nil
-}
-
-// Read decodes a record as it comes in node metadata.
-func Read(name string, meta []byte) (Record, error) {
-	var r Record
-	if len(meta) > memberlist.MetaMaxSize {
-		return r, fmt.Errorf("record of %q: found %d bytes, expected at most %d", name, len(meta), memberlist.MetaMaxSize)
-	}
-	if err := json.Unmarshal(meta, &r); err != nil {
-		return r, fmt.Errorf("record of %q: found no JSON object (%v)", name, err)
-	}
-	return r, r.check(name)
-}
-
 // Watcher hears the changes of the view, each once, in the order memberlist found them.
 type Watcher interface {
 	Joined(r Record)
@@ -144,23 +98,9 @@
 	if _, err := m.meta(); err != nil {
 		return nil, err
 	}
-	lc := memberlist.DefaultLocalConfig()
-	lc.Name, lc.BindAddr, lc.BindPort, lc.AdvertiseAddr, lc.AdvertisePort = c.Name, host, p, host, p
-	if c.Advertise != "" {
-		ahost, aport, err := net.SplitHostPort(c.Advertise)
-		if err != nil {
-			return nil, fmt.Errorf("fleet advertise: found %q, expected host:port (%v)", c.Advertise, err)
-		}
-		if lc.AdvertisePort, err = strconv.Atoi(aport); err != nil {
-			return nil, fmt.Errorf("fleet advertise: port found %q, expected a number", aport)
-		}
-		lc.AdvertiseAddr = ahost
-	}
-	if c.Probe > 0 {
-		lc.ProbeInterval = c.Probe
-	}
-	if c.Sync > 0 {
-		lc.PushPullInterval = c.Sync
+	lc, err := settings(c, host, p)
+	if err != nil {
+		return nil, err
 	}
 	lc.Delegate, lc.Events, lc.Alive, lc.Merge = delegate{m}, events{m}, alive{m}, merge{m}
 	lc.LogOutput = c.Log
@@ -290,92 +230,3 @@
 	}
 	return err
 }
-
-// bound is memberlist's own transport, but its TCP dials leave from the bound host where that is one address: a
-// multi-homed host's traffic then comes from the address the others know, and a rig can tell members apart by it.
-type bound struct {
-	*memberlist.NetTransport
-	local net.IP // nil or unspecified: the kernel chooses
-}
-
-func (b bound) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
-	return b.DialAddressTimeout(memberlist.Address{Addr: addr}, timeout)
-}
-
-func (b bound) DialAddressTimeout(a memberlist.Address, timeout time.Duration) (net.Conn, error) {
-	d := net.Dialer{Timeout: timeout}
-	if b.local != nil && !b.local.IsUnspecified() {
-		d.LocalAddr = &net.TCPAddr{IP: b.local}
-	}
-	return d.Dial("tcp", a.Addr)
-}
-
-type delegate struct{ m *Member }
-
-func (d delegate) NodeMeta(limit int) []byte {
-	d.m.mu.Lock()
-	defer d.m.mu.Unlock()
-	b, _ := d.m.meta() // Start and Set let no record past that does not fit
-	if len(b) > limit {
-		return nil
-	}
-	return b
-}
-func (delegate) NotifyMsg([]byte)                {}
-func (delegate) GetBroadcasts(int, int) [][]byte { return nil }
-func (delegate) LocalState(bool) []byte          { return nil }
-func (delegate) MergeRemoteState([]byte, bool)   {}
-
-type alive struct{ m *Member }
-
-func (a alive) NotifyAlive(n *memberlist.Node) error { return a.m.admit(n) }
-
-type merge struct{ m *Member }
-
-func (g merge) NotifyMerge(peers []*memberlist.Node) error {
-	for _, n := range peers {
-		if err := g.m.admit(n); err != nil {
-			return err // memberlist then takes none of this push and pull, and asks again later
-		}
-	}
-	return nil
-}
-
-type events struct{ m *Member }
-
-func (e events) NotifyJoin(n *memberlist.Node) { e.put(n, true) }
-
-func (e events) NotifyUpdate(n *memberlist.Node) { e.put(n, false) }
-
-func (e events) put(n *memberlist.Node, joined bool) {
-	r, err := Read(n.Name, n.Meta)
-	if err != nil { // admitted records read; one that changed to garbage since is the peer's loss
-		e.m.watch.Refused(n.Name, err)
-		return
-	}
-	e.m.mu.Lock()
-	_, known := e.m.view[n.Name]
-	e.m.view[n.Name] = r
-	delete(e.m.gone, n.Name)
-	e.m.mu.Unlock()
-	if joined && !known {
-		e.m.watch.Joined(r)
-		return
-	}
-	e.m.watch.Updated(r)
-}
-
-func (e events) NotifyLeave(n *memberlist.Node) {
-	e.m.mu.Lock()
-	last, known := e.m.view[n.Name]
-	delete(e.m.view, n.Name)
-	// memberlist marks dead on its own state, not on the Node it hands here, so a leave is told by the record: a
-	// member flags "leaving" before it goes; any other that goes is taken as dead and tried again
-	if last.Flag != "leaving" && len(e.m.gone) < e.m.most {
-		e.m.gone[n.Name] = lost{n.Address(), time.Now()}
-	}
-	e.m.mu.Unlock()
-	if known {
-		e.m.watch.Left(n.Name)
-	}
-}
