--- /dev/null
+++ b/cmd/thymelab/emulated.go
@@ -0,0 +1,63 @@
+// This file owns the experiments that run in the emulator alone: decisions at any size, no process and no socket. It
+// must never print a figure that was not counted in its own run.
+
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/spf13/cobra"
+
+	"thymechute/internal/lab/emu"
+)
+
+// emulated is one such experiment: do returns its figures by name, and as an error the claim that does not hold.
+func emulated(name, short string, size, least, most int, unit string,
+	do func(seed uint64, size int) (map[string]float64, error)) *cobra.Command {
+	var seed uint64
+	var asJSON bool
+	c := &cobra.Command{Use: name, Short: short, Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+		if size < least || size > most {
+			return faulty{fmt.Errorf("--size: found %d, expected %d to %d %s", size, least, most, unit)}
+		}
+		figures, fault := do(seed, size)
+		if asJSON {
+			_ = json.NewEncoder(c.OutOrStdout()).Encode(figures)
+		} else {
+			for _, k := range slices.Sorted(maps.Keys(figures)) {
+				fmt.Fprintf(c.OutOrStdout(), "%-28s %.6g\n", k, figures[k])
+			}
+		}
+		return fault
+	}}
+	c.Flags().Uint64Var(&seed, "seed", 1, "of all chance in the run")
+	c.Flags().IntVar(&size, "size", size, unit)
+	c.Flags().BoolVar(&asJSON, "json", false, "print one object, figures by name")
+	return c
+}
+
+// runOwner holds the decisions on owners to their claim; its takeover is in emulated time, with leases of 1 s.
+func runOwner() *cobra.Command {
+	return emulated("owner", "One owner a duty through pauses, cuts and cold restarts, in the emulator", 12, 2, 5000, "members",
+		func(seed uint64, size int) (map[string]float64, error) {
+			f, err := emu.Owner(size, 120, seed)
+			if err != nil {
+				return nil, err
+			}
+			figures := map[string]float64{"owners_at_once": float64(f.OwnersAtOnce), "stale_tried": float64(f.StaleTried),
+				"stale_accepted": float64(f.StaleAccepted), "stale_acted_on": float64(f.StaleActed), "decisions": float64(f.Decisions),
+				"tables_that_differ": float64(f.Diverged), "takeover_ms_p99": float64(f.TakeoverP99.Milliseconds())}
+			for _, name := range []string{"owners_at_once", "stale_accepted", "stale_acted_on", "tables_that_differ"} {
+				if figures[name] != 0 {
+					return figures, fmt.Errorf("owner: %s is %.0f, expected 0", name, figures[name])
+				}
+			}
+			if f.StaleTried == 0 || f.TakeoverP99.Milliseconds() > 3000 {
+				return figures, fmt.Errorf("owner: %d stale commands tried, takeover %v; expected some, and 3 s at most", f.StaleTried, f.TakeoverP99)
+			}
+			return figures, nil
+		})
+}
--- /dev/null
+++ b/internal/decide/owner/owner_test.go
@@ -0,0 +1,254 @@
+package owner_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"thymechute/internal/decide/owner"
+	"thymechute/internal/lab/emu"
+)
+
+var lease = owner.Lease{Length: time.Second, Drift: 0.05, Margin: 5 * time.Millisecond}
+
+// Any order of pauses, cuts, cold restarts, lost and late entries, with clocks at any rate within the bound.
+func TestOneHolderAtATimeWhateverHappens(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "rates"), 1))
+		s, err := emu.NewOwnerSim(rapid.IntRange(2, 5).Draw(t, "size"), lease, r, "ring", "roll")
+		if err != nil {
+			t.Fatal(err)
+		}
+		some := func(t *rapid.T) *emu.OwnerMember {
+			return s.Members[rapid.IntRange(0, len(s.Members)-1).Draw(t, "member")]
+		}
+		inFlight := func(t *rapid.T) int {
+			if s.Flight() == 0 {
+				t.Skip("nothing in flight")
+			}
+			return rapid.IntRange(0, s.Flight()-1).Draw(t, "which")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"advance": func(t *rapid.T) { s.Advance(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond) },
+			"commit":  func(t *rapid.T) { s.Commit(inFlight(t)) },
+			"drop":    func(t *rapid.T) { s.Drop(inFlight(t)) },
+			"hear":    func(t *rapid.T) { s.Hear(some(t), rapid.IntRange(1, 8).Draw(t, "entries")) },
+			"all": func(t *rapid.T) {
+				for _, m := range s.Members {
+					s.Hear(m, 99)
+				}
+			},
+			"pause":   func(t *rapid.T) { some(t).Paused = true },
+			"wake":    func(t *rapid.T) { m := some(t); m.Paused = false; s.Blurt(m) },
+			"deaf":    func(t *rapid.T) { m := some(t); m.Deaf = !m.Deaf },
+			"mute":    func(t *rapid.T) { m := some(t); m.Mute = !m.Mute },
+			"restart": func(t *rapid.T) { s.Restart(some(t)) },
+			"decide":  func(t *rapid.T) { s.Decide(some(t)) },
+			"leave":   func(t *rapid.T) { s.Leave(some(t)) },
+			"": func(t *rapid.T) {
+				if err := s.Check(); err != nil {
+					t.Fatal(err)
+				}
+			},
+		})
+	})
+}
+
+func TestEmulatedFleetThroughFaults(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		f, err := emu.Owner(12, 120, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if f.OwnersAtOnce != 0 || f.StaleAccepted != 0 || f.StaleActed != 0 || f.Diverged != 0 {
+			t.Errorf("seed %d: %+v", seed, f)
+		}
+		if f.StaleTried == 0 || f.Decisions == 0 {
+			t.Errorf("seed %d tried nothing: %+v", seed, f)
+		}
+	}
+}
+
+func TestWithTheFenceTakenOutTheChecksFail(t *testing.T) {
+	owner.Unfence(func() {
+		accepted, acted := 0, 0
+		for seed := uint64(1); seed <= 3; seed++ {
+			f, _ := emu.Owner(12, 120, seed)
+			accepted, acted = accepted+f.StaleAccepted, acted+f.StaleActed
+		}
+		if accepted == 0 || acted == 0 {
+			t.Errorf("%d stale commands accepted, %d acted on without a fence: the checks see nothing", accepted, acted)
+		}
+		if _, faults := walk(6); faults == 0 {
+			t.Error("the walk sees nothing either")
+		}
+	})
+}
+
+func TestClockBeyondTheBoundIsWhatTheBoundIsFor(t *testing.T) {
+	two := 0
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		wide := owner.Lease{Length: time.Second, Drift: 0.4}
+		s, _ := emu.NewOwnerSim(3, wide, r, "ring") // clocks at 0.6 to 1.4
+		s.Restrict(owner.Lease{Length: time.Second})
+		for range 400 {
+			s.Advance(20 * time.Millisecond)
+			for s.Flight() > 0 {
+				s.Commit(0)
+			}
+			for n, m := range s.Members {
+				if h := s.Holding("ring"); h == nil || m != h || n > 0 {
+					s.Hear(m, 9)
+				}
+			}
+			if h := s.Holding("ring"); h != nil {
+				h.Deaf, h.Mute = true, true // cut off: it must stop by its own clock
+			}
+			if s.Check() != nil {
+				two++
+				break
+			}
+		}
+	}
+	if two == 0 {
+		t.Error("clocks at 0.6 to 1.4 under a lease that allows no drift never gave two holders: the check sees nothing")
+	}
+}
+
+// walk goes through every order of three members' claims, renewals, decisions and releases over two duties, as fast
+// or as late as may be, to a depth: leases left out, so that only the fence stands. It returns states and faults.
+func walk(depth int) (states, faults int) {
+	type node struct {
+		table  *owner.Table
+		flight []owner.Command
+		token  [3][2]uint64 // the last that each member was granted
+		seen   [3][2]uint64
+	}
+	duties := []string{"a", "b"}
+	first, _ := owner.NewTable(duties...)
+	known := map[string]bool{}
+	level := []node{{table: first}}
+	for range depth {
+		var next []node
+		add := func(n node) {
+			key := fmt.Sprint(*n.table, n.flight, n.token, n.seen)
+			if !known[key] {
+				known[key] = true
+				next = append(next, n)
+			}
+		}
+		for _, n := range level {
+			for m := range 3 {
+				for d, duty := range duties {
+					now, _ := n.table.At(duty)
+					if n.seen[m][d] != now.Renewed { // it hears of the last renewal
+						c := n
+						c.seen[m][d] = now.Renewed
+						add(c)
+					}
+					if len(n.flight) >= 2 {
+						continue
+					}
+					for _, kind := range []owner.Kind{owner.Claim, owner.Renew, owner.Release, owner.Do} {
+						if kind != owner.Claim && n.token[m][d] == 0 {
+							continue
+						}
+						c := n
+						c.flight = append(append([]owner.Command{}, n.flight...), owner.Command{Kind: kind, Duty: duty,
+							Member: fmt.Sprint(m), Life: 1, Token: n.token[m][d], Seen: n.seen[m][d]})
+						add(c)
+					}
+				}
+			}
+			for f, cmd := range n.flight {
+				c := n
+				c.flight = append(append([]owner.Command{}, n.flight[:f]...), n.flight[f+1:]...)
+				add(c) // lost
+				c.table = n.table.Copy()
+				before, _ := n.table.At(cmd.Duty)
+				o := c.table.Apply(n.table.Index()+1, cmd)
+				after, _ := c.table.At(cmd.Duty)
+				m, d := int(cmd.Member[0]-'0'), int(cmd.Duty[0]-'a')
+				if cmd.Kind == owner.Claim && o.Accepted {
+					c.token[m][d] = after.Token
+				}
+				if after.Token < before.Token || o.Accepted && cmd.Kind != owner.Claim &&
+					(cmd.Token != before.Token || cmd.Member != before.Holder) {
+					faults++
+				}
+				add(c)
+			}
+		}
+		level = next
+	}
+	return len(known), faults
+}
+
+func TestEveryOrderOfThreeMembersTwoDuties(t *testing.T) {
+	states, faults := walk(7)
+	t.Logf("%d states to a depth of 7", states)
+	if faults != 0 || states < 50000 {
+		t.Errorf("%d faults in %d states", faults, states)
+	}
+}
+
+func TestALargeFleetClaimsInTurn(t *testing.T) {
+	s, err := emu.NewOwnerSim(500, lease, rand.New(rand.NewPCG(1, 1)), "ring")
+	if err != nil {
+		t.Fatal(err)
+	}
+	most := 0
+	for range 200 {
+		s.Advance(25 * time.Millisecond)
+		most = max(most, s.Flight())
+		for s.Flight() > 0 {
+			s.Commit(0)
+		}
+		for _, m := range s.Members {
+			s.Hear(m, 9)
+		}
+	}
+	if h := s.Holding("ring"); h == nil || most > 16 {
+		t.Errorf("held by %v, %d proposals at once, want 16 at most", h, most)
+	}
+}
+
+func TestGuardRefusesTheOlder(t *testing.T) {
+	var g owner.Guard
+	for n, c := range []struct {
+		duty         string
+		token, index uint64
+		want         bool
+	}{{"ring", 1, 5, true}, {"ring", 1, 5, false}, {"ring", 2, 9, true}, {"ring", 1, 10, false}, {"roll", 1, 3, true},
+		{"ring", 2, 8, false}, {"ring", 2, 11, true}} {
+		if got := g.Admit(c.duty, c.token, c.index); got != c.want {
+			t.Errorf("%d: %+v: %v", n, c, got)
+		}
+	}
+	for n := range 2 * owner.MostDuties {
+		g.Admit(fmt.Sprint(n), 1, 1)
+	}
+	if g.Admit("one too many", 1, 1) {
+		t.Error("a guard takes any number of duties")
+	}
+}
+
+func TestTableRefusesWhatItDoesNotKnow(t *testing.T) {
+	if _, err := owner.NewTable("a", "a"); err == nil {
+		t.Error("a duty twice")
+	}
+	tab, _ := owner.NewTable("a")
+	for n, c := range []owner.Command{{Kind: owner.Claim, Duty: "b"}, {Kind: owner.Do, Duty: "a", Token: 0, Member: "x"},
+		{Kind: owner.Kind(9), Duty: "a"}, {Kind: owner.Claim, Duty: "a", Seen: 7}} {
+		if o := tab.Apply(uint64(n+1), c); o.Accepted || o.Why == "" {
+			t.Errorf("%+v: %+v", c, o)
+		}
+	}
+	if o := tab.Apply(2, owner.Command{Kind: owner.Claim, Duty: "a"}); o.Accepted {
+		t.Error("an index under the last was applied")
+	}
+}
