--- a/cmd/thymelab/emulated.go
+++ b/cmd/thymelab/emulated.go
@@ -61,3 +61,28 @@
 			return figures, nil
 		})
 }
+
+// runRing holds the ring's plans to their claim, and prints the published ways beside it.
+func runRing() *cobra.Command {
+	return emulated("ring", "Backends join, leave, die and come back: keys moved, by the ring and by published ways, in the emulator", 6, 2,
+		1000, "backends at first", func(seed uint64, size int) (map[string]float64, error) {
+			slots, keys := 4096, 100_000
+			if size > 60 {
+				slots, keys = 1<<16, 1_000_000
+			}
+			r, err := emu.Ring(size, slots, keys, seed)
+			if err != nil {
+				return nil, err
+			}
+			figures := map[string]float64{"moved_over_least": r.SlotsMoved, "max_over_fair": r.SlotsFair, "table_bytes": float64(r.Bytes),
+				"plan_ms_most": float64(r.Plan.Microseconds()) / 1000, "slots": float64(slots), "keys": float64(keys)}
+			for _, w := range r.Ways {
+				figures[w.Way+"_keys_moved_over_least"], figures[w.Way+"_keys_max_over_fair"] = w.MovedOverLeast, w.MaxOverFair
+			}
+			if r.SlotsMoved > 1 || r.SlotsFair > 1.05 {
+				return figures, fmt.Errorf("ring: %.3f times the least moves, %.3f times the fair part; expected 1.00 and 1.05 at most",
+					r.SlotsMoved, r.SlotsFair)
+			}
+			return figures, nil
+		})
+}
