--- a/cmd/thymelab/emulated.go
+++ b/cmd/thymelab/emulated.go
@@ -86,3 +86,31 @@
 			return figures, nil
 		})
 }
+
+// runRoll holds the roll to its claim in the emulator, with and without faults.
+func runRoll() *cobra.Command {
+	return emulated("roll", "A release rolled through zones while instances die, load rises and the owner changes, in the emulator", 24, 12,
+		5000, "instances, in 3 zones, or 6 from 300 on", func(seed uint64, size int) (map[string]float64, error) {
+			zones := 3
+			if size >= 300 {
+				zones = 6
+			}
+			calm, err := emu.Roll(size, zones, seed, false)
+			if err != nil {
+				return nil, err
+			}
+			f, err := emu.Roll(size, zones, seed, true)
+			if err != nil {
+				return nil, err
+			}
+			figures := map[string]float64{"zone_capacity_over_floor_min": f.OverFloorMin, "undisturbed_capacity_over_floor_min": calm.OverFloorMin,
+				"capacity_over_load_min": f.OverLoadMin, "waves": float64(f.Waves), "waves_over_bound": float64(f.Waves) / float64(f.Bound),
+				"drained_twice": float64(f.DrainedTwice), "voters_away_most": float64(f.VotersAtOnce), "rolled": f.Rolled,
+				"took_s": f.Took.Seconds(), "undisturbed_took_s": calm.Took.Seconds()}
+			if f.OverFloorMin < 1 || calm.OverFloorMin < 1 || figures["waves_over_bound"] > 1.15 || f.DrainedTwice > 0 || f.VotersAtOnce > 1 ||
+				f.Rolled < 1-1e-9 || calm.Rolled < 1-1e-9 || !f.RefusedSpoken {
+				return figures, fmt.Errorf("roll: its claim does not hold")
+			}
+			return figures, nil
+		})
+}
