Voters of the agreed log: three or five over the zones, one change at a time, quorum kept

Failed first: a dead voter of three was never replaced, as four need three; it is now dropped first.

--- /dev/null
+++ b/internal/decide/voters/voters.go
@@ -0,0 +1,244 @@
+// Package voters decides who of the fleet votes in the agreed log: three or five members over as many zones as there
+// are, changed one at a time. It owns that choice and must never do I/O, read a clock, start a goroutine or draw chance.
+// Whoever leads the log asks it after each change of the view and each change that has come into force.
+//
+// A voter is a process, not a name: one that starts cold without its log under a name that has voted is another
+// Process here and in the log, and votes only after being chosen anew, or two could be elected in one term.
+//
+// It keeps no table: what it is given is all that it knows.
+package voters
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Member is one process as the leader has it now, those that fell silent included until they are forgotten.
+type Member struct {
+	Process   string // unique in a life
+	Zone      string
+	Age       time.Duration // since it joined
+	SilentFor time.Duration // 0: heard of
+	Leaving   bool          // it has been told to drain
+	CaughtUp  bool          // it has applied what the log held a moment ago
+}
+
+// Bounds of the choice; the same in all members.
+type Bounds struct {
+	Most     int           // 3 or 5
+	Settle   time.Duration // before a member is chosen
+	HoldDown time.Duration // silence before a voter is replaced: a death may be refuted
+}
+
+// Kind of a change.
+type Kind uint8
+
+// The changes; each is one entry of the log, and the next waits until it is in force.
+const (
+	None  Kind = iota
+	Learn      // it follows the log and will vote once it has caught up
+	Vote       // a learner becomes a voter
+	Drop       // a voter or a learner is one no more
+)
+
+// Change is what to do now, and why, in one line; for None why not.
+type Change struct {
+	Kind    Kind
+	Process string
+	Why     string
+}
+
+// Quorum of so many voters.
+func Quorum(voters int) int { return voters/2 + 1 }
+
+// choice is the state that one decision looks at.
+type choice struct {
+	b                Bounds
+	members          map[string]Member
+	voters, learners []string
+	good             []string // voters that stay
+	bad              []string // to be replaced, the longest silent first
+	heard            int      // voters heard of now
+	able             []Member // who may vote, voters among them
+	want             int
+}
+
+// Next is the next change, one at a time: pending tells that the last is not in force yet.
+func Next(members []Member, voters, learners []string, pending bool, b Bounds) Change {
+	if pending {
+		return Change{Why: "a change is under way"}
+	}
+	c := look(members, voters, learners, b)
+	if missing := c.missing(); c.heard < Quorum(len(voters)) {
+		return Change{Why: fmt.Sprintf("quorum lost: %d of %d voters heard, expected %d; missed: %s", c.heard, len(voters),
+			Quorum(len(voters)), strings.Join(missing, ", "))}
+	}
+	for _, l := range learners {
+		if m, known := c.members[l]; !known || m.SilentFor >= b.HoldDown || m.Leaving {
+			return Change{Drop, l, "a learner that is gone"}
+		}
+	}
+	if change, ok := c.promote(); ok {
+		return change
+	}
+	if change, ok := c.drop(); ok {
+		return change
+	}
+	return c.learn()
+}
+
+func look(members []Member, voters, learners []string, b Bounds) choice {
+	c := choice{b: b, members: map[string]Member{}, voters: voters, learners: learners}
+	for _, m := range members {
+		c.members[m.Process] = m
+		if m.SilentFor == 0 && !m.Leaving && (m.Age >= b.Settle || slices.Contains(voters, m.Process)) {
+			c.able = append(c.able, m)
+		}
+	}
+	slices.SortFunc(c.able, func(x, y Member) int { return cmp.Or(-cmp.Compare(x.Age, y.Age), cmp.Compare(x.Process, y.Process)) })
+	for _, v := range voters {
+		m, known := c.members[v]
+		if known && m.SilentFor == 0 {
+			c.heard++
+		}
+		switch {
+		case !known || m.SilentFor >= b.HoldDown || m.Leaving:
+			c.bad = append(c.bad, v)
+		default: // silent for a moment is no death
+			c.good = append(c.good, v)
+		}
+	}
+	slices.SortStableFunc(c.bad, func(x, y string) int {
+		return cmp.Compare(c.silence(y), c.silence(x))
+	})
+	c.want = 1
+	for _, n := range []int{3, b.Most} {
+		if len(c.able) >= n {
+			c.want = n
+		}
+	}
+	return c
+}
+
+// silence of one that is not even known any more is the longest.
+func (c *choice) silence(process string) time.Duration {
+	if m, known := c.members[process]; known {
+		return m.SilentFor
+	}
+	return 1 << 62
+}
+
+func (c *choice) missing() (out []string) {
+	for _, v := range c.voters {
+		if c.silence(v) > 0 {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// zones counts those given by zone.
+func (c *choice) zones(of []string) map[string]int {
+	out := map[string]int{}
+	for _, v := range of {
+		out[c.members[v].Zone]++
+	}
+	return out
+}
+
+// wider tells whether a voter of this zone would put the voters over more zones than they are.
+func (c *choice) wider(zone string) bool {
+	zones := c.zones(c.good)
+	return zones[zone] == 0 && len(zones) < c.want && len(c.good) > len(zones)
+}
+
+// needed tells whether one more voter of this zone is wanted at all.
+func (c *choice) needed(zone string) bool {
+	return len(c.good) < c.want || len(c.voters) <= c.want && c.wider(zone)
+}
+
+// promote makes a learner that has caught up a voter, where the grown set has its quorum without it too.
+func (c *choice) promote() (Change, bool) {
+	for _, l := range c.learners {
+		m := c.members[l]
+		if m.SilentFor > 0 || !m.CaughtUp || !c.needed(m.Zone) {
+			continue
+		}
+		if c.thin() {
+			continue
+		}
+		return Change{Vote, l, fmt.Sprintf("%d of %d wanted voters are good", len(c.good), c.want)}, true
+	}
+	return Change{}, false
+}
+
+// thin tells that one voter more would leave the rest without a quorum, should it fall silent at once.
+func (c *choice) thin() bool { return len(c.voters) > 1 && c.heard < Quorum(len(c.voters)+1) }
+
+// ready tells whether a learner waits for nothing but room.
+func (c *choice) ready() bool {
+	return slices.ContainsFunc(c.learners, func(l string) bool {
+		m := c.members[l]
+		return m.SilentFor == 0 && m.CaughtUp && c.needed(m.Zone)
+	})
+}
+
+// drop takes one out where there are more than wanted, or a dead one stands in its successor's way: a bad one first, else the youngest of the fullest zone; and
+// never where the smaller set would lack its quorum.
+func (c *choice) drop() (Change, bool) {
+	if len(c.learners) > 0 && !slices.ContainsFunc(c.learners, func(l string) bool { return c.needed(c.members[l].Zone) }) {
+		return Change{Drop, c.learners[0], "a learner that is not needed any more"}, true
+	}
+	if inTheWay := len(c.bad) > 0 && c.thin() && c.ready(); len(c.voters) <= c.want && !inTheWay || len(c.voters) == 1 {
+		return Change{}, false
+	}
+	who, why := "", "more voters than wanted"
+	if len(c.bad) > 0 {
+		who, why = c.bad[0], "a voter that is gone, or leaves, has been replaced"
+	} else if len(c.good) > c.want {
+		zones := c.zones(c.good)
+		for _, v := range c.good {
+			if m, best := c.members[v], c.members[who]; who == "" || cmp.Or(cmp.Compare(zones[m.Zone], zones[best.Zone]),
+				-cmp.Compare(m.Age, best.Age), cmp.Compare(v, who)) > 0 {
+				who = v
+			}
+		}
+	}
+	if who == "" { // one that is silent, not long enough yet
+		return Change{}, false
+	}
+	left := c.heard
+	if c.silence(who) == 0 {
+		left--
+	}
+	if left < Quorum(len(c.voters)-1) {
+		return Change{}, false
+	}
+	return Change{Drop, who, why}, true
+}
+
+// learn picks the next voter: of the zone with the fewest good ones, the oldest.
+func (c *choice) learn() Change {
+	if len(c.learners) > 0 {
+		return Change{Why: c.learners[0] + " has not caught up, or the quorum is too thin for one more"}
+	}
+	zones, who := c.zones(c.good), ""
+	for _, m := range c.able { // the oldest first
+		if slices.Contains(c.voters, m.Process) || !c.needed(m.Zone) {
+			continue
+		}
+		if who == "" || zones[m.Zone] < zones[c.members[who].Zone] {
+			who = m.Process
+		}
+	}
+	switch {
+	case who != "":
+		return Change{Learn, who, fmt.Sprintf("%d of %d wanted voters are good", len(c.good), c.want)}
+	case len(c.good) < c.want || len(c.bad) > 0:
+		return Change{Why: fmt.Sprintf("%d of %d wanted voters are good, and no other member may vote", len(c.good), c.want)}
+	}
+	return Change{Why: "nothing to change"}
+}
