The agreed log on raft: five processes keep one owner through pause, kill and cold restarts

Found on the way: a silent voter made the leader want fewer and drop itself; a cold process could not follow while its dead life held its address. Both have tests. Not linked by the program yet.

--- a/internal/decide/owner/holder.go
+++ b/internal/decide/owner/holder.go
@@ -206,3 +206,16 @@
 		}
 	}
 }
+
+// Restored: a snapshot took the place of the entries so far. What it renewed meanwhile is taken to have been renewed
+// just now.
+func (h *Holder) Restored(now time.Duration, t *Table) {
+	for n, name := range h.table.names {
+		if d, ok := t.At(name); ok {
+			h.table.duties[n] = d
+		}
+		h.own[n].heard, h.own[n].sent = now, 0
+		h.check(now, n)
+	}
+	h.table.index = max(h.table.index, t.index)
+}
--- a/internal/decide/voters/voters.go
+++ b/internal/decide/voters/voters.go
@@ -24,6 +24,7 @@
 	SilentFor time.Duration // 0: heard of
 	Leaving   bool          // it has been told to drain
 	CaughtUp  bool          // it has applied what the log held a moment ago
+	Ended     bool          // for certain: another life stands at its address
 }
 
 // Bounds of the choice; the same in all members.
@@ -76,6 +77,11 @@
 		return Change{Why: fmt.Sprintf("quorum lost: %d of %d voters heard, expected %d; missed: %s", c.heard, len(voters),
 			Quorum(len(voters)), strings.Join(missing, ", "))}
 	}
+	for _, v := range c.bad { // its successor can't follow the log at an address that the log still knows as another's
+		if c.members[v].Ended && c.heard >= Quorum(len(voters)-1) {
+			return Change{Drop, v, "another life stands at its address"}
+		}
+	}
 	for _, l := range learners {
 		if m, known := c.members[l]; !known || m.SilentFor >= b.HoldDown || m.Leaving {
 			return Change{Drop, l, "a learner that is gone"}
@@ -92,20 +98,24 @@
 
 func look(members []Member, voters, learners []string, b Bounds) choice {
 	c := choice{b: b, members: map[string]Member{}, voters: voters, learners: learners}
+	size := 0
 	for _, m := range members {
 		c.members[m.Process] = m
-		if m.SilentFor == 0 && !m.Leaving && (m.Age >= b.Settle || slices.Contains(voters, m.Process)) {
+		if !m.Leaving && (m.Age >= b.Settle || slices.Contains(voters, m.Process)) {
+			size++
+		}
+		if m.SilentFor == 0 && !m.Leaving && !m.Ended && (m.Age >= b.Settle || slices.Contains(voters, m.Process)) {
 			c.able = append(c.able, m)
 		}
 	}
 	slices.SortFunc(c.able, func(x, y Member) int { return cmp.Or(-cmp.Compare(x.Age, y.Age), cmp.Compare(x.Process, y.Process)) })
 	for _, v := range voters {
 		m, known := c.members[v]
-		if known && m.SilentFor == 0 {
+		if known && m.SilentFor == 0 && !m.Ended {
 			c.heard++
 		}
 		switch {
-		case !known || m.SilentFor >= b.HoldDown || m.Leaving:
+		case !known || m.SilentFor >= b.HoldDown || m.Leaving || m.Ended:
 			c.bad = append(c.bad, v)
 		default: // silent for a moment is no death
 			c.good = append(c.good, v)
@@ -114,9 +124,11 @@
 	slices.SortStableFunc(c.bad, func(x, y string) int {
 		return cmp.Compare(c.silence(y), c.silence(x))
 	})
+	// By how large the fleet is, the silent ones included until they leave or are forgotten: fewer voters because one
+	// has fallen silent would bear less just when more is to be borne.
 	c.want = 1
 	for _, n := range []int{3, b.Most} {
-		if len(c.able) >= n {
+		if size >= n {
 			c.want = n
 		}
 	}
--- a/internal/decide/voters/voters_test.go
+++ b/internal/decide/voters/voters_test.go
@@ -150,6 +150,24 @@
 	}
 }
 
+// Seen on processes: one of five stopped, its successor as leader then wanted three and dropped a good one, itself.
+func TestASilentVoterMakesTheOthersNoFewer(t *testing.T) {
+	p := &play{voters: []string{"p0", "p1", "p2", "p3", "p4"}}
+	for n := range 5 {
+		p.members = append(p.members, Member{Process: fmt.Sprint("p", n), Zone: "z", Age: time.Hour, CaughtUp: true})
+	}
+	for _, silent := range []time.Duration{time.Second, time.Hour} {
+		p.members[0].SilentFor = silent
+		if c := Next(p.members, p.voters, nil, false, bounds); c.Kind != None {
+			t.Errorf("silent for %v: %+v", silent, c)
+		}
+	}
+	p.members[0].SilentFor, p.members[0].Leaving = 0, true // a fleet that does shrink, to four
+	if settled(t, p); len(p.voters) != 3 || slices.Contains(p.voters, "p0") {
+		t.Errorf("four members have the voters %v", p.voters)
+	}
+}
+
 func TestALostQuorumIsSaidAndNothingDecided(t *testing.T) {
 	p := &play{voters: []string{"p0", "p1", "p2"}}
 	for n := range 6 {
@@ -167,7 +185,10 @@
 	for _, name := range []string{"a#1", "b#1", "c#1", "c#2"} { // c was started anew
 		p.members = append(p.members, Member{Process: name, Zone: "z", Age: time.Hour, CaughtUp: true})
 	}
-	p.members[2].SilentFor = bounds.HoldDown
+	p.members[2].Ended = true // no hold-down: it has ended for certain, and its successor can't follow before it is out
+	if c := Next(p.members, p.voters, nil, false, bounds); c.Kind != Drop || c.Process != "c#1" {
+		t.Errorf("%+v", c)
+	}
 	settled(t, p)
 	if !slices.Contains(p.voters, "c#2") || slices.Contains(p.voters, "c#1") || len(p.voters) != 3 {
 		t.Errorf("voters %v", p.voters)
--- /dev/null
+++ b/internal/fleet/log/driver.go
@@ -0,0 +1,169 @@
+// This file owns the goroutine that drives one member's owner.Holder: entries, ticks and messages come to it one by
+// one. It must never block raft for longer than its queue, nor call the Holder from two goroutines.
+
+package log
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"thymechute/internal/decide/owner"
+)
+
+// Watcher hears what becomes of duties and entries, on the driver's goroutine.
+type Watcher interface {
+	Held(duty string, token uint64)
+	Lost(duty string)
+	Entry(index uint64, c owner.Command, o owner.Outcome) // each entry, in order
+}
+
+// Driver is one member's duties.
+type Driver struct {
+	Log     *Log
+	holder  *owner.Holder
+	watch   Watcher
+	lease   owner.Lease
+	start   time.Time
+	work    chan func() // bounded; raft waits where it is full
+	send    chan forward
+	forward func(process string, b []byte) error
+	stop    chan struct{}
+	done    sync.WaitGroup
+}
+
+type forward struct {
+	process string
+	b       []byte
+}
+
+const (
+	queued   = 256
+	forwards = 64 // to the leader; past them a proposal is lost, and tried again
+	ticks    = 32 // in a lease
+)
+
+// Drive starts a log and its driver. send takes a message to the member that is this process (Incoming there).
+func Drive(c Config, lease owner.Lease, life uint64, w Watcher, send func(process string, b []byte) error) (*Driver, error) {
+	table, err := owner.NewTable(c.Duties...)
+	if err != nil {
+		return nil, err
+	}
+	d := &Driver{watch: w, lease: lease, start: time.Now(), work: make(chan func(), queued), send: make(chan forward, forwards),
+		forward: send, stop: make(chan struct{})}
+	d.holder = owner.NewHolder(d, table, lease, c.Process, life)
+	if d.Log, err = Start(c, d); err != nil {
+		return nil, err
+	}
+	d.done.Add(2)
+	go d.run()
+	go d.deliver()
+	return d, nil
+}
+
+func (d *Driver) now() time.Duration { return time.Since(d.start) }
+
+// do hands work to the driver's goroutine; once it has stopped, nowhere.
+func (d *Driver) do(f func()) {
+	select {
+	case d.work <- f:
+	case <-d.stop:
+	}
+}
+
+func (d *Driver) run() {
+	defer d.done.Done()
+	tick := time.NewTicker(d.lease.Length / ticks)
+	defer tick.Stop()
+	for {
+		select {
+		case <-d.stop:
+			return
+		case f := <-d.work:
+			f()
+		case <-tick.C:
+			if _, all := d.Log.Applied(); all {
+				d.holder.CaughtUp(d.now())
+			}
+			d.holder.Tick(d.now())
+		}
+	}
+}
+
+func (d *Driver) deliver() {
+	defer d.done.Done()
+	for {
+		select {
+		case <-d.stop:
+			return
+		case f := <-d.send:
+			_ = d.forward(f.process, f.b) // lost: the Holder tries again
+		}
+	}
+}
+
+// Entry and Restored make the driver the log's Reader.
+func (d *Driver) Entry(index uint64, c owner.Command) {
+	d.do(func() { d.watch.Entry(index, c, d.holder.Applied(d.now(), index, c)) })
+}
+
+// Restored implements Reader.
+func (d *Driver) Restored(t *owner.Table) { d.do(func() { d.holder.Restored(d.now(), t) }) }
+
+// Propose implements owner.Host: into the log here, or to the leader.
+func (d *Driver) Propose(c owner.Command) {
+	if d.Log.Propose(c) == nil {
+		return
+	}
+	leader, _ := d.Log.Leader()
+	b, err := json.Marshal(c)
+	if err != nil || leader == "" {
+		return
+	}
+	select {
+	case d.send <- forward{leader, b}:
+	default:
+	}
+}
+
+// Holds and Lost implement owner.Host.
+func (d *Driver) Holds(duty string, token uint64) { d.watch.Held(duty, token) }
+
+// Lost implements owner.Host.
+func (d *Driver) Lost(duty string) { d.watch.Lost(duty) }
+
+// Incoming is another member's proposal; what does not read is dropped.
+func (d *Driver) Incoming(b []byte) {
+	var c owner.Command
+	if json.Unmarshal(b, &c) == nil {
+		_ = d.Log.Propose(c) // no longer the leader: its sender tries again
+	}
+}
+
+// Decide issues a decision of a duty that this member holds; whether it did comes back on the driver's goroutine.
+func (d *Driver) Decide(duty, body string, told func(ok bool)) {
+	d.do(func() {
+		_, ok := d.holder.Decide(d.now(), duty, body)
+		told(ok)
+	})
+}
+
+// Placed tells this member's turn to claim a duty that comes free.
+func (d *Driver) Placed(duty string, place int) { d.do(func() { d.holder.Placed(duty, place) }) }
+
+// Leave gives up all duties; Stop after it ends the log here.
+func (d *Driver) Leave() {
+	done := make(chan struct{})
+	d.do(func() { d.holder.Leave(d.now()); close(done) })
+	select {
+	case <-done:
+	case <-d.stop:
+	}
+}
+
+// Stop ends the log and the driver.
+func (d *Driver) Stop() {
+	close(d.stop)
+	d.done.Wait()
+	_ = d.Log.Stop()
+}
--- /dev/null
+++ b/internal/fleet/log/lead.go
@@ -0,0 +1,159 @@
+// This file owns the leader's care for the others: who follows the log, and who votes (by internal/decide/voters). It
+// must never change two things at once.
+
+package log
+
+import (
+	"time"
+
+	"github.com/hashicorp/raft"
+
+	"thymechute/internal/decide/voters"
+)
+
+// Peer is one process as membership has it.
+type Peer struct {
+	Process, Address, Zone string
+	Applied                uint64
+	Leaving                bool
+}
+
+const (
+	careEvery = 250 * time.Millisecond
+	changeFor = 2 * time.Second
+	lagging   = 64               // entries behind, under which a follower has caught up
+	forgetOld = 30 * time.Second // a follower silent for so long is dropped
+)
+
+type seen struct {
+	Peer
+	first, last time.Time
+	ended       bool // a later process stands at its address
+}
+
+// Care runs at every member, and acts only at the leader, until stop: peers gives the view, say tells each change and each
+// new reason for none.
+func (d *Driver) Care(peers func() []Peer, b voters.Bounds, say func(voters.Change)) {
+	d.done.Add(1)
+	go func() {
+		defer d.done.Done()
+		known, learner, last := map[string]*seen{}, "", ""
+		tick := time.NewTicker(careEvery)
+		defer tick.Stop()
+		for {
+			select {
+			case <-d.stop:
+				return
+			case now := <-tick.C:
+				look(known, peers(), now)
+				if _, leads := d.Log.Leader(); !leads {
+					learner = ""
+					continue
+				}
+				c := d.Log.care(known, &learner, now, b)
+				if c.Kind != voters.None || c.Why != last {
+					say(c)
+				}
+				last = c.Why
+			}
+		}
+	}()
+}
+
+// look takes the view in: at most as many as membership holds, and those lately silent.
+func look(known map[string]*seen, peers []Peer, now time.Time) {
+	for _, p := range peers {
+		if p.Process == "" {
+			continue
+		}
+		if s := known[p.Process]; s != nil {
+			s.Peer, s.last = p, now
+		} else {
+			known[p.Process] = &seen{Peer: p, first: now, last: now}
+		}
+	}
+	latest := map[string]time.Time{}
+	for _, s := range known {
+		if s.first.After(latest[s.Address]) {
+			latest[s.Address] = s.first
+		}
+	}
+	for process, s := range known {
+		s.ended = s.first.Before(latest[s.Address])
+		if now.Sub(s.last) > 2*forgetOld {
+			delete(known, process)
+		}
+	}
+}
+
+// care makes one change at most, and waits until it is in force.
+func (l *Log) care(known map[string]*seen, learner *string, now time.Time, b voters.Bounds) voters.Change {
+	future := l.raft.GetConfiguration()
+	if future.Error() != nil {
+		return voters.Change{}
+	}
+	votes, follows := []string{}, map[string]bool{}
+	for _, s := range future.Configuration().Servers {
+		if id := string(s.ID); s.Suffrage == raft.Voter {
+			votes = append(votes, id)
+		} else if follows[id] = true; known[id] == nil || known[id].ended || now.Sub(known[id].last) > forgetOld {
+			return l.change(voters.Change{Kind: voters.Drop, Process: id, Why: "a follower long silent, or ended"}, "")
+		}
+	}
+	var members []voters.Member
+	failed := ""
+	committed := l.raft.CommitIndex()
+	for id, s := range known {
+		silent := now.Sub(s.last)
+		if silent < 2*careEvery {
+			silent = 0
+		}
+		at := 0
+		for at < len(votes) && votes[at] != id {
+			at++
+		}
+		if at == len(votes) && !follows[id] && silent == 0 && !s.Leaving && !s.ended {
+			if err := l.raft.AddNonvoter(raft.ServerID(id), raft.ServerAddress(s.Address), 0, changeFor).Error(); err != nil {
+				failed = "a follower could not be added: " + err.Error() // not to hold up the rest
+			}
+		}
+		members = append(members, voters.Member{Process: id, Zone: s.Zone, Age: now.Sub(s.first), SilentFor: silent, Leaving: s.Leaving,
+			CaughtUp: s.Applied+lagging >= committed && follows[id], Ended: s.ended})
+	}
+	var learners []string
+	if *learner != "" {
+		learners = []string{*learner}
+	}
+	c := voters.Next(members, votes, learners, false, b)
+	if c.Kind == voters.None && failed != "" {
+		c.Why = failed
+	}
+	switch c.Kind {
+	case voters.Learn: // it follows the log already, as all do: it is only chosen
+		*learner = c.Process
+	case voters.Vote:
+		*learner = ""
+		c = l.change(c, known[c.Process].Address)
+	case voters.Drop:
+		if c.Process == *learner {
+			*learner = ""
+			return c
+		}
+		c = l.change(c, "")
+	}
+	return c
+}
+
+// change carries one out, and tells in Why if it could not be.
+func (l *Log) change(c voters.Change, address string) voters.Change {
+	var f raft.IndexFuture
+	if c.Kind == voters.Vote {
+		f = l.raft.AddVoter(raft.ServerID(c.Process), raft.ServerAddress(address), 0, changeFor)
+	} else {
+		f = l.raft.RemoveServer(raft.ServerID(c.Process), 0, changeFor)
+	}
+	if err := f.Error(); err != nil {
+		c.Kind, c.Why = voters.None, c.Why+": "+err.Error()
+	}
+	return c
+}
--- /dev/null
+++ b/internal/fleet/log/log.go
@@ -0,0 +1,210 @@
+// Package log carries the fleet's agreed log by hashicorp/raft, over raft's own transport; what members that don't lead
+// propose goes to the leader as one of memberlist's reliable messages. No protocol of ours. It owns raft, the entries'
+// form and who votes (by internal/decide/voters), and must never decide what an entry means: internal/decide/owner does.
+//
+// Without a folder nothing is on disk. A process is therefore known to raft under an identity of its one life (name and
+// life): started cold it is another server, and can't vote where it has voted. Only one process, once, founds a log.
+//
+// Tables: raft keeps keepEntries entries behind a snapshot; proposals wait in raft's own bounded queue.
+package log
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+
+	"thymechute/internal/decide/owner"
+)
+
+const (
+	keepEntries   = 1024
+	snapshotEvery = 4096 // entries
+	applyFor      = time.Second
+	dialFor       = time.Second
+	connections   = 2 // kept to each other server
+)
+
+// Config of a log.
+type Config struct {
+	Process   string        // this process's identity, of this life alone
+	Bind      string        // host:port, TCP; dials leave from its host
+	Advertise string        // where the others reach it, if not at Bind
+	Found     bool          // the log begins with this process: once in a fleet's life, never again
+	Duties    []string      // the same in all members
+	Beat      time.Duration // a leader silent for so long is replaced; 50 ms and more, 0: 500 ms
+	Out       io.Writer     // raft's own lines; nil: none
+}
+
+// Reader hears the log, from raft's goroutine, in the entries' order.
+type Reader interface {
+	Entry(index uint64, c owner.Command)
+	Restored(t *owner.Table) // a snapshot took the place of all before
+}
+
+// Log is one process's end of it.
+type Log struct {
+	raft   *raft.Raft
+	stores *raft.InmemStore
+	reader Reader
+	table  *owner.Table // for snapshots; raft's goroutine alone
+}
+
+// ErrNotLeader is of a proposal made elsewhere than at the leader.
+var ErrNotLeader = errors.New("not the leader")
+
+// Start begins. Errors: an address that can't be bound, faulty duties.
+func Start(c Config, r Reader) (*Log, error) {
+	table, err := owner.NewTable(c.Duties...)
+	if err != nil {
+		return nil, err
+	}
+	out := c.Out
+	if out == nil {
+		out = io.Discard
+	}
+	logger := hclog.New(&hclog.LoggerOptions{Name: c.Process, Output: out, Level: hclog.Warn})
+	if c.Beat == 0 {
+		c.Beat = 500 * time.Millisecond
+	}
+	rc := raft.DefaultConfig()
+	rc.LocalID, rc.Logger = raft.ServerID(c.Process), logger
+	rc.HeartbeatTimeout, rc.ElectionTimeout, rc.LeaderLeaseTimeout, rc.CommitTimeout = c.Beat, c.Beat, c.Beat/2, c.Beat/10
+	rc.TrailingLogs, rc.SnapshotThreshold, rc.SnapshotInterval = keepEntries, snapshotEvery, 10*time.Second
+	layer, err := listen(c.Bind, c.Advertise)
+	if err != nil {
+		return nil, err
+	}
+	l := &Log{reader: r, table: table, stores: raft.NewInmemStore()}
+	snapshots := raft.NewInmemSnapshotStore()
+	transport := raft.NewNetworkTransportWithLogger(layer, connections, dialFor, logger)
+	if c.Found {
+		first := raft.Configuration{Servers: []raft.Server{{ID: rc.LocalID, Address: transport.LocalAddr()}}}
+		if err := raft.BootstrapCluster(rc, l.stores, l.stores, snapshots, transport, first); err != nil {
+			_ = transport.Close()
+			return nil, fmt.Errorf("log: %w", err)
+		}
+	}
+	if l.raft, err = raft.NewRaft(rc, machine{l}, l.stores, l.stores, snapshots, transport); err != nil {
+		_ = transport.Close()
+		return nil, fmt.Errorf("log: %w", err)
+	}
+	return l, nil
+}
+
+// Propose puts a command into the log where this process leads; ErrNotLeader elsewhere. It does not wait: what comes of
+// it comes back by the Reader, or never.
+func (l *Log) Propose(c owner.Command) error {
+	if l.raft.State() != raft.Leader {
+		return ErrNotLeader
+	}
+	b, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	l.raft.Apply(b, applyFor)
+	return nil
+}
+
+// Leader is the process that leads, "" where none is known, and whether it is this one.
+func (l *Log) Leader() (process string, self bool) {
+	_, id := l.raft.LeaderWithID()
+	return string(id), l.raft.State() == raft.Leader
+}
+
+// Applied is the last entry that has been handed to the Reader, and whether this is all that is known to be agreed.
+func (l *Log) Applied() (index uint64, all bool) {
+	index = l.raft.AppliedIndex()
+	_, id := l.raft.LeaderWithID()
+	return index, id != "" && index >= l.raft.CommitIndex() && index > 0
+}
+
+// Stop ends it.
+func (l *Log) Stop() error { return l.raft.Shutdown().Error() }
+
+// machine is raft's view of the state machine.
+type machine struct{ l *Log }
+
+func (m machine) Apply(e *raft.Log) any {
+	var c owner.Command
+	if err := json.Unmarshal(e.Data, &c); err != nil {
+		return err // an entry of another version: the same in every member that reads it so
+	}
+	m.l.table.Apply(e.Index, c)
+	m.l.reader.Entry(e.Index, c)
+	return nil
+}
+
+func (m machine) Snapshot() (raft.FSMSnapshot, error) {
+	b, err := m.l.table.Encode()
+	return snapshot(b), err
+}
+
+func (m machine) Restore(r io.ReadCloser) error {
+	defer r.Close()
+	b, err := io.ReadAll(io.LimitReader(r, 1<<20))
+	if err != nil {
+		return err
+	}
+	t, err := owner.Decode(b)
+	if err != nil {
+		return err
+	}
+	m.l.table = t
+	m.l.reader.Restored(t.Copy())
+	return nil
+}
+
+type snapshot []byte
+
+func (s snapshot) Persist(sink raft.SnapshotSink) error {
+	if _, err := sink.Write(s); err != nil {
+		return errors.Join(err, sink.Cancel())
+	}
+	return sink.Close()
+}
+
+func (snapshot) Release() {}
+
+// layer is raft's stream: its dials leave from the bound host, so that the others know whose they are.
+type layer struct {
+	net.Listener
+	advertise net.Addr
+	dialer    net.Dialer
+}
+
+func listen(bind, advertise string) (*layer, error) {
+	l, err := net.Listen("tcp", bind)
+	if err != nil {
+		return nil, fmt.Errorf("log: %w", err)
+	}
+	y := &layer{Listener: l, advertise: l.Addr()}
+	if at, ok := l.Addr().(*net.TCPAddr); ok && !at.IP.IsUnspecified() {
+		y.dialer.LocalAddr = &net.TCPAddr{IP: at.IP}
+	}
+	if advertise != "" {
+		if y.advertise, err = net.ResolveTCPAddr("tcp", advertise); err != nil {
+			l.Close()
+			return nil, fmt.Errorf("log advertise: %w", err)
+		}
+	}
+	return y, nil
+}
+
+// Addr is what the others are told.
+func (y *layer) Addr() net.Addr { return y.advertise }
+
+// Dial implements raft.StreamLayer.
+func (y *layer) Dial(address raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
+	d := y.dialer
+	d.Timeout = timeout
+	return d.Dial("tcp", string(address))
+}
+
+// Term is raft's, for who watches elections.
+func (l *Log) Term() uint64 { return l.raft.CurrentTerm() }
--- a/internal/fleet/member/delegates.go
+++ b/internal/fleet/member/delegates.go
@@ -4,7 +4,9 @@
 package member
 
 import (
+	"fmt"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/memberlist"
@@ -40,11 +42,33 @@
 	}
 	return b
 }
-func (delegate) NotifyMsg([]byte)                {}
+
+// NotifyMsg hands a message on; memberlist's buffer is its own again after.
+func (d delegate) NotifyMsg(b []byte) {
+	if d.m.heard != nil && len(b) <= MostMessage {
+		d.m.heard(slices.Clone(b))
+	}
+}
 func (delegate) GetBroadcasts(int, int) [][]byte { return nil }
 func (delegate) LocalState(bool) []byte          { return nil }
 func (delegate) MergeRemoteState([]byte, bool)   {}
 
+// MostMessage is the longest that Send takes.
+const MostMessage = 16 << 10
+
+// Send gives a message to one member, over memberlist's own stream to it. Errors: not in the view, too long, not reached.
+func (m *Member) Send(name string, b []byte) error {
+	if len(b) > MostMessage {
+		return fmt.Errorf("message to %q: found %d bytes, expected at most %d", name, len(b), MostMessage)
+	}
+	for _, n := range m.list.Members() {
+		if n.Name == name {
+			return m.list.SendReliable(n, b)
+		}
+	}
+	return fmt.Errorf("message to %q: found no such member", name)
+}
+
 type alive struct{ m *Member }
 
 func (a alive) NotifyAlive(n *memberlist.Node) error { return a.m.admit(n) }
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -50,6 +50,8 @@
 	// Gossip alone can miss a member that joined at the same moment as another; the exchange repairs that, so it
 	// bounds how long views may disagree, at the cost of one TCP exchange of the whole view per member and period.
 	Log io.Writer // memberlist's own lines; nil for none
+	// Message hears what another member sent by Send, on memberlist's goroutine: it must hand it on and return. nil: none.
+	Message func(b []byte)
 }
 
 // Member is one running member.
@@ -60,6 +62,7 @@
 	view  map[string]Record
 	most  int
 	watch Watcher
+	heard func([]byte)
 	stop  chan struct{}   // closed by Leave; ends the rejoining
 	gone  map[string]lost // members declared dead, not left: tried again in turn; at most most, each for reconnectFor
 	turn  int
@@ -93,7 +96,7 @@
 	if err := c.Record.check(c.Name); err != nil {
 		return nil, err
 	}
-	m := &Member{self: c.Record, view: map[string]Record{}, most: c.Most, watch: w, stop: make(chan struct{}),
+	m := &Member{self: c.Record, view: map[string]Record{}, most: c.Most, watch: w, heard: c.Message, stop: make(chan struct{}),
 		gone: map[string]lost{}}
 	if _, err := m.meta(); err != nil {
 		return nil, err
--- a/internal/fleet/member/record.go
+++ b/internal/fleet/member/record.go
@@ -15,14 +15,17 @@
 // Record is what a member says of itself; at most memberlist.MetaMaxSize (512) bytes as JSON.
 type Record struct {
 	V        int     `json:"v"`
-	Name     string  `json:"name"`     // its member name again, so that a record can't be worn by another
-	Zone     string  `json:"zone"`     // up to 64 bytes
-	Epoch    uint64  `json:"epoch"`    // when it joined, in the fleet's epochs; ties go by name
-	Rank     int     `json:"rank"`     // the rank it holds, -1 for none (internal/decide/subset)
-	Capacity float64 `json:"capacity"` // work items a second it can take, 0 and more
-	LagMS    int     `json:"lag_ms"`   // its lag, 0 and more
-	Flag     string  `json:"flag"`     // "", "leaving", "overloaded"
-	Share    float64 `json:"share"`    // of what the fleet sheds, that it holds, 0 to 1
+	Name     string  `json:"name"`              // its member name again, so that a record can't be worn by another
+	Zone     string  `json:"zone"`              // up to 64 bytes
+	Epoch    uint64  `json:"epoch"`             // when it joined, in the fleet's epochs; ties go by name
+	Rank     int     `json:"rank"`              // the rank it holds, -1 for none (internal/decide/subset)
+	Capacity float64 `json:"capacity"`          // work items a second it can take, 0 and more
+	LagMS    int     `json:"lag_ms"`            // its lag, 0 and more
+	Flag     string  `json:"flag"`              // "", "leaving", "overloaded"
+	Share    float64 `json:"share"`             // of what the fleet sheds, that it holds, 0 to 1
+	Process  string  `json:"process,omitempty"` // its identity in the agreed log, of this life alone; up to 96 bytes
+	Log      string  `json:"log,omitempty"`     // host:port at which the log reaches it
+	Applied  uint64  `json:"applied,omitempty"` // the log's last entry that it has applied, lately
 }
 
 // check says what is wrong with a record heard from name, in one line.
@@ -32,6 +35,8 @@
 		return fmt.Errorf("record of %q: version found %d, expected %d", name, r.V, Version)
 	case r.Name != name:
 		return fmt.Errorf("record of %q: name found %q, expected its own", name, r.Name)
+	case len(r.Process) > 96 || len(r.Log) > 64:
+		return fmt.Errorf("record of %q: process and log found %d and %d bytes, expected at most 96 and 64", name, len(r.Process), len(r.Log))
 	case len(r.Zone) > 64:
 		return fmt.Errorf("record of %q: zone found %d bytes, expected at most 64", name, len(r.Zone))
 	case r.Capacity < 0 || r.LagMS < 0 || r.Share < 0 || r.Share > 1 || r.Rank < -1:
