--- /dev/null
+++ b/internal/node/acts.go
@@ -0,0 +1,151 @@
+// This file owns what the module does, as its Host. It must never decide, nor answer a work item twice.
+
+package node
+
+import (
+	"hash/maphash"
+	"slices"
+	"time"
+
+	"thymechute/policy"
+)
+
+func (n *Instance) answer(w int, a Answer) {
+	it := &n.items[w]
+	if it.answered {
+		return
+	}
+	it.answered = true
+	if it.asker != nil {
+		if a.Free = n.free; a.Kind == Scrapped {
+			a.Why = it.why
+		}
+		it.asker.Answer(it.tag, a)
+	}
+}
+
+func (n *Instance) giveUp(it *item) {
+	if it.calling {
+		it.calling = false
+		n.below.GiveUp(it.rid)
+	}
+}
+
+// Start puts a work item on the cores.
+func (n *Instance) Start(w int) {
+	it := &n.items[w]
+	it.started = true
+	if n.runtime.Up() {
+		it.sent = true
+		n.runtime.Start(it.rid, n.site.Bands[it.band], it.body)
+	}
+}
+
+// Stop takes it off.
+func (n *Instance) Stop(w int) {
+	it := &n.items[w]
+	it.stopped = true
+	if n.runtime.Up() {
+		n.runtime.Stop(it.rid)
+	}
+}
+
+// TurnBack answers what has not run.
+func (n *Instance) TurnBack(w int, comeBack time.Duration, no bool) {
+	n.answer(w, Answer{Kind: TurnedBack, ComeBack: comeBack, No: no})
+}
+
+// Scrap answers with an error; a call that is out for it is given up.
+func (n *Instance) Scrap(w int) {
+	n.answer(w, Answer{Kind: Scrapped})
+	n.giveUp(&n.items[w])
+}
+
+// Call issues the call.
+func (n *Instance) Call(w int, patience time.Duration) {
+	it := &n.items[w]
+	it.calling = true
+	n.below.Call(it.rid, patience, it.call)
+}
+
+// LeaveOut goes on without it.
+func (n *Instance) LeaveOut(w int) { n.runtime.LeaveOut(n.items[w].rid) }
+
+func (n *Instance) digest(body []byte) uint64 { return maphash.Bytes(n.digests, body) }
+
+// Record enters the receipt, or moves it to this try.
+func (n *Instance) Record(w int, life time.Duration) {
+	key := n.items[w].key
+	if key == "" {
+		return
+	}
+	r := n.receipts[key]
+	if r == nil || r.over { // an entry past its window must not lend its result to the next
+		n.discard(key)
+		r = &receipt{}
+		n.receipts[key] = r
+		n.kept += entryBytes
+	}
+	it := &n.items[w]
+	r.w, r.end, r.body, r.band, r.window = w, n.now+life, n.digest(it.body), it.band, n.window(it.band)
+}
+
+// Forget takes the receipt out.
+func (n *Instance) Forget(w int) {
+	if key := n.items[w].key; n.receipts[key] != nil && n.receipts[key].w == w {
+		n.discard(key)
+	}
+}
+
+// Join waits for the forerunner's result.
+func (n *Instance) Join(w int) {
+	it := &n.items[w]
+	r := n.receipts[it.key]
+	if r == nil {
+		r = &receipt{over: true}
+	}
+	if r.over {
+		n.settleJoin(w, r.ok, r.result)
+		return
+	}
+	it.joins = r
+	r.joiners = append(r.joiners, w)
+}
+
+// Health is how checks are answered.
+func (n *Instance) Health(good, stored bool) { n.good, n.stored = good, stored }
+
+// Idle closes connections idle for so long.
+func (n *Instance) Idle(after time.Duration) {
+	for _, f := range n.fronts {
+		f.Idle(after)
+	}
+}
+
+// Free is the value that rides on all answers.
+func (n *Instance) Free(value float64) { n.free = value }
+
+// Wake asks for a Tick.
+func (n *Instance) Wake(at time.Duration) { n.wake = at }
+
+// Release is the module's last word on an index.
+func (n *Instance) Release(w int) {
+	it := &n.items[w]
+	if r := n.receipts[it.key]; r != nil && r.w == w {
+		r.w = policy.GoneForerunner
+		if !r.over {
+			n.conclude(r, false, nil)
+		}
+	}
+	if r := it.joins; r != nil {
+		r.joiners = slices.DeleteFunc(r.joiners, func(x int) bool { return x == w })
+	}
+	n.giveUp(it)
+	delete(n.byRid, it.rid)
+	n.items[w] = item{}
+	n.live--
+	n.spare = append(n.spare, w)
+}
+
+// Log is one line to the operators.
+func (n *Instance) Log(format string, args ...any) { n.log.Sugar().Infof(format, args...) }
--- /dev/null
+++ b/internal/node/arrive.go
@@ -0,0 +1,129 @@
+// This file owns how work comes in: the door, its keys, callers that went, health checks. It must never let an ask in
+// for which a table has no room.
+
+package node
+
+import (
+	"strconv"
+	"time"
+
+	"thymechute/policy"
+)
+
+// Arrive is the door: a work item has been read. An error means that it was not taken in.
+func (n *Instance) Arrive(asker Asker, tag string, ask Ask) error {
+	band, ok := n.bands[ask.Band]
+	if !ok {
+		return ErrBand
+	}
+	customer, ok := n.clients[ask.Customer]
+	if !ok {
+		if customer = -1; ask.Customer != "" {
+			return ErrCustomer
+		}
+	}
+	if _, ok := n.byRid[ask.Rid]; ok {
+		return ErrTwice
+	}
+	key := n.key(band, ask)
+	full := n.kept >= n.room && n.kind(band) == "receipted" && n.receipts[key] == nil
+	if n.mod == nil || n.live*itemBytes >= n.room || full { // it never ran
+		var pause time.Duration
+		if n.site.Told["come_back"] != false {
+			pause = min(fullPause, n.span("come_back_s"))
+		}
+		asker.Answer(tag, Answer{Kind: TurnedBack, ComeBack: pause, Free: n.free})
+		return nil
+	}
+	w := len(n.items)
+	if k := len(n.spare); k > 0 {
+		w, n.spare = n.spare[k-1], n.spare[:k-1]
+	} else {
+		n.items = append(n.items, item{})
+	}
+	n.items[w] = item{live: true, asker: asker, tag: tag, rid: ask.Rid, band: band, body: ask.Body, key: key}
+	n.byRid[ask.Rid] = w
+	n.live++
+	n.put(func() { n.arrive(w, customer, ask) })
+	return nil
+}
+
+// kind of a band, as the settings tell it.
+func (n *Instance) kind(band int) any { return n.site.Told["band."+strconv.Itoa(band)+".kind"] }
+
+// key under which a work item's receipt stands; empty: it has none.
+func (n *Instance) key(band int, ask Ask) string {
+	if n.kind(band) == "receipted" && ask.Receipt != "" {
+		return ask.Band + " " + ask.Receipt
+	}
+	return ""
+}
+
+func (n *Instance) arrive(w, customer int, ask Ask) {
+	it := &n.items[w]
+	kind := n.kind(it.band)
+	work := policy.Work{Band: it.band, Customer: customer, From: ask.From, Repeat: ask.Again, Rank: ask.Rank,
+		KB: ask.KB, Forerunner: policy.NoForerunner}
+	work.Waited = min(max(time.Since(ask.Came), 0), longestWait)
+	if ask.Patience > 0 { // what is past is the module's to end, and no patience at all would mean that none is told
+		work.Patience = max(ask.Patience-work.Waited, 1)
+	}
+	n.lastRead = n.now
+	r := n.receipts[it.key]
+	same := func() bool { return r != nil && r.body == n.digest(ask.Body) }
+	switch window := n.window(it.band); {
+	case it.key != "" && r != nil && n.now-work.Waited <= r.end:
+		if kind == "receipted" && !same() { // not the same request: it must not get that one's result
+			it.why = Conflict
+			n.answer(w, Answer{Kind: Scrapped})
+			n.Release(w)
+			return
+		}
+		work.Forerunner = r.w
+	case ask.Elsewhere && kind != "pure",
+		kind == "receipted" && ask.Again && n.before && n.now-work.Waited < n.first+window:
+		// Another instance or the life before this one may have run an earlier try, and nothing of it is known here.
+		work.Forerunner, it.why = policy.GoneForerunner, MayHaveRun
+		if !same() { // an entry past its window that still stands is this request's, or is not for it
+			it.key = ""
+		}
+	}
+	n.mod.Arrived(n.now, w, work)
+}
+
+// Gone: nobody will hear answers to what came from this asker.
+func (n *Instance) Gone(asker Asker) {
+	for w := range n.items {
+		it := &n.items[w]
+		if !it.live || it.asker != asker {
+			continue
+		}
+		it.asker = nil
+		rid := it.rid
+		n.put(func() {
+			if at, ok := n.byRid[rid]; ok && at == w && !n.items[w].answered {
+				n.mod.CallerGone(n.now, w)
+			}
+		})
+	}
+}
+
+// Check answers a health check, at once or when the runtime has done its work.
+func (n *Instance) Check(asker Asker, tag string, full bool) {
+	if !full || n.stored || n.mod == nil || !n.runtime.Up() || len(n.checks) >= mostChecks {
+		asker.Checked(tag, n.mod != nil && n.good, n.free)
+		return
+	}
+	n.tests++
+	name := "check" + strconv.Itoa(n.tests)
+	n.checks[name] = check{asker, tag, n.now + verdictFor}
+	n.runtime.SelfTest(name)
+}
+
+// Verdict is the end of a self-test.
+func (n *Instance) Verdict(tag string, good bool) {
+	if c, ok := n.checks[tag]; ok {
+		delete(n.checks, tag)
+		c.asker.Checked(c.tag, good && n.good, n.free)
+	}
+}
--- /dev/null
+++ b/internal/node/ends.go
@@ -0,0 +1,172 @@
+// This file owns what the runtime and what lies below tell: starts, ends, calls, readings. It must never take one for a
+// work item that is not here.
+
+package node
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"thymechute/policy"
+)
+
+// Ready: the runtime answers a sync that was sent at the time asked. It began so long ago, and is old where it has
+// worked before this life of the instance; a day starts with one that is.
+func (n *Instance) Ready(old bool, ago time.Duration, asked time.Time) {
+	earliest, latest := asked.Add(-ago), time.Now().Add(-ago)
+	n.put(func() {
+		if n.mod == nil {
+			n.log.Info("runtime up", zap.Bool("old", old), zap.Duration("ago", ago))
+			n.start, n.began, n.old = latest, latest, old // a cold machine warms from its runtime's start
+			n.now = time.Since(n.start)
+			n.first, n.heard = n.now, n.now
+			n.mod = policy.New(n, n.seed, n.site.Told)
+			return
+		}
+		if earliest.After(n.began.Add(ageSlack)) {
+			n.log.Warn("runtime started anew: its runs are lost")
+			n.began = latest
+			for w := range n.items {
+				if it := &n.items[w]; it.live && it.sent {
+					n.ended(w, policy.Cancelled, 0, nil)
+				}
+			}
+		}
+	})
+}
+
+// CaughtUp: a new link has told all that was missed. What may not have reached the runtime is said again: a start
+// of what runs is nothing, while a reply that may have been taken is not given twice, as the run may stand at its
+// next call by then.
+func (n *Instance) CaughtUp() {
+	n.put(func() {
+		for w := range n.items {
+			it := &n.items[w]
+			switch {
+			case !it.live:
+				continue
+			case it.started && !it.sent && it.answered:
+				n.ended(w, policy.Moot, 0, nil)
+				continue
+			case it.started && !it.confirmed:
+				it.sent = true
+				n.runtime.Start(it.rid, n.site.Bands[it.band], it.body)
+			}
+			if it.stopped {
+				n.runtime.Stop(it.rid)
+			}
+			if it.give != nil {
+				n.runtime.Give(it.rid, it.give)
+				it.give = nil
+			}
+		}
+	})
+}
+
+// End is the end of a run.
+func (n *Instance) End(rid string, o policy.Outcome, took time.Duration, result []byte) {
+	n.put(func() {
+		if w, ok := n.known(rid); ok {
+			n.ended(w, o, took, result)
+		}
+	})
+}
+
+// known finds a run. A runtime that worked before and names one that was never here is at work for an earlier
+// life of this instance, beside which this one was started.
+func (n *Instance) known(rid string) (int, bool) {
+	w, ok := n.byRid[rid]
+	if !ok && n.old && !n.before {
+		n.before = true
+		n.log.Warn("runtime works for an earlier life: marked repeats of its window are not run", zap.String("task", rid))
+	}
+	return w, ok && n.items[w].started
+}
+
+func (n *Instance) ended(w int, o policy.Outcome, took time.Duration, result []byte) {
+	it := &n.items[w]
+	n.giveUp(it)
+	switch o {
+	case policy.OK:
+		n.answer(w, Answer{Kind: Fulfilled, Result: result})
+	case policy.Cancelled: // the module answers
+	default:
+		n.answer(w, Answer{Kind: Scrapped})
+	}
+	if r := n.receipts[it.key]; r != nil && r.w == w {
+		n.conclude(r, o == policy.OK, result)
+	}
+	n.mod.Ended(n.now, w, o, took)
+}
+
+// conclude gives a result to who waits for it, and keeps it for as long as the receipt stands.
+func (n *Instance) conclude(r *receipt, ok bool, result []byte) {
+	r.over = true
+	for _, w := range r.joiners {
+		n.settleJoin(w, ok, result)
+	}
+	if r.joiners = nil; n.kept+len(result) <= n.room { // else a repeat gets an error
+		r.ok, r.result = ok, result
+		n.kept += len(result)
+	}
+}
+
+// discard forgets a key.
+func (n *Instance) discard(key string) {
+	if r := n.receipts[key]; r != nil {
+		n.kept -= entryBytes + len(r.result)
+		delete(n.receipts, key)
+	}
+}
+
+func (n *Instance) settleJoin(w int, good bool, result []byte) {
+	rid := n.items[w].rid
+	n.later = append(n.later, func() {
+		if at, ok := n.byRid[rid]; !ok || at != w {
+			return
+		}
+		n.items[w].joins = nil
+		if good {
+			n.ended(w, policy.OK, 0, result)
+		} else {
+			n.ended(w, policy.Failed, 0, nil)
+		}
+	})
+}
+
+// Wants: a run stands at a call.
+func (n *Instance) Wants(rid string, body []byte) {
+	n.put(func() {
+		if w, ok := n.known(rid); ok {
+			it := &n.items[w]
+			it.confirmed, it.call, it.give = true, body, nil
+			n.mod.AtCall(n.now, w)
+		}
+	})
+}
+
+// Returned is the end of a call.
+func (n *Instance) Returned(rid string, o policy.Outcome, took time.Duration, reply []byte) {
+	n.put(func() {
+		w, ok := n.byRid[rid]
+		if !ok || !n.items[w].calling {
+			return
+		}
+		it := &n.items[w]
+		it.calling = false
+		if o == policy.OK {
+			if n.runtime.Up() {
+				n.runtime.Give(rid, reply)
+			} else {
+				it.give = reply
+			}
+		}
+		n.mod.Returned(n.now, w, o, took)
+	})
+}
+
+// Readings are the gauges, in the settings' order.
+func (n *Instance) Readings(row []float64) {
+	n.gauges, n.gaugesAt = n.site.Readings(row), time.Since(n.start)
+}
--- /dev/null
+++ b/internal/node/rounds.go
@@ -0,0 +1,144 @@
+// This file owns rounds, sweeps and the leave. It must never keep the loop longer than one round.
+
+package node
+
+import (
+	"slices"
+	"time"
+
+	"thymechute/internal/loop"
+	"thymechute/internal/told"
+)
+
+func (n *Instance) put(f func()) { n.inbox = append(n.inbox, f) }
+
+// Round hands all that came to the module, then lets it act. It tells when to come again, and its phase.
+func (n *Instance) Round() (time.Time, loop.Phase) {
+	clock := time.Now()
+	n.now = clock.Sub(n.start)
+	next := n.below.Sweep(clock)
+	inbox := n.inbox
+	if n.inbox = nil; len(inbox) > 0 {
+		n.heard = n.now
+	}
+	for _, f := range inbox {
+		loop.Guard(n.log, "event", f) // its panic must not take along those behind it
+	}
+	if n.mod == nil {
+		n.reports.Sweep(clock, false)
+		n.sweepFronts(clock)
+		if n.leaving {
+			return clock, loop.Ended
+		}
+		return clock.Add(sweepEvery), loop.Serving
+	}
+	at := n.wake
+	if n.now >= at {
+		if at = n.standstill(); n.now >= at {
+			n.tick()
+			at = n.wake
+		}
+	}
+	n.mod.Settle(n.now)
+	for len(n.later) > 0 {
+		later := n.later
+		n.later = nil
+		for _, f := range later {
+			loop.Guard(n.log, "join", f)
+		}
+		n.mod.Settle(n.now)
+	}
+	if n.now >= n.swept {
+		n.sweep()
+	}
+	n.reports.Sweep(clock, n.good && !n.leaving)
+	n.sweepFronts(clock)
+	if at := n.start.Add(at); next.IsZero() || at.Before(next) {
+		next = at
+	}
+	return next, n.phase()
+}
+
+func (n *Instance) sweepFronts(now time.Time) {
+	for _, f := range n.fronts {
+		f.Sweep(now)
+	}
+}
+
+func (n *Instance) tick() {
+	g := n.gauges
+	if n.now-n.gaugesAt > oldGauges {
+		g = told.NoReadings
+	}
+	n.wake = n.now + wakeGap
+	n.mod.Tick(n.now, g)
+	if n.runtime.Up() {
+		if n.asked <= n.gaugesAt {
+			n.asked = n.now
+		}
+		n.runtime.Gauges() // for the next one: nothing waits for readings
+	}
+}
+
+// standstill tells when the Tick that is due may come. While the machine stands still the runtime owes its
+// readings and nobody is heard; timers stand still with it. A Tick that late tells the module so, and it is still
+// soon enough for every due time, whose margin and the rules' own slack are longer together.
+func (n *Instance) standstill() time.Duration {
+	if n.runtime.Up() && n.asked > n.gaugesAt && n.now-max(n.asked, n.heard) > silence {
+		return n.wake + mostSilence
+	}
+	return n.wake
+}
+
+// phase: a leaving server closes its door once nothing is owed and nothing that comes would run, or the kill is
+// near; it ends when what crossed that is answered.
+func (n *Instance) phase() loop.Phase {
+	if !n.leaving {
+		return loop.Serving
+	}
+	owes := slices.ContainsFunc(n.items, func(it item) bool { return it.live && !it.answered && it.asker != nil }) ||
+		slices.ContainsFunc(n.fronts, Front.Owes)
+	if n.closedAt == 0 && (n.now >= n.killAt-closeBefore || n.now >= n.graceEnd && n.now-n.lastRead > quietBefore && !owes) {
+		n.closedAt = n.now
+	}
+	switch {
+	case n.now >= n.killAt-lastCall, n.closedAt > 0 && n.now-n.closedAt > closeFor && !owes:
+		return loop.Ended
+	case n.closedAt > 0:
+		return loop.Closing
+	}
+	return loop.Serving
+}
+
+func (n *Instance) sweep() {
+	n.swept = n.now + sweepEvery
+	for key, r := range n.receipts {
+		if n.now > r.end+afterEnd && r.w < 0 && len(r.joiners) == 0 {
+			n.discard(key)
+		}
+	}
+	for tag, c := range n.checks {
+		if n.now > c.until {
+			delete(n.checks, tag)
+			c.asker.Checked(c.tag, false, n.free)
+		}
+	}
+}
+
+// Leave is the notice that this server will be stopped.
+func (n *Instance) Leave() {
+	n.put(func() {
+		if n.leaving {
+			return
+		}
+		n.leaving = true
+		n.killAt = n.now + n.stop
+		n.graceEnd = n.now + n.span("grace_s")
+		if n.mod != nil {
+			n.mod.Leave(n.now, n.stop)
+		}
+		for _, f := range n.fronts {
+			f.Leave()
+		}
+	})
+}
