--- a/internal/fleet/log/log.go
+++ b/internal/fleet/log/log.go
@@ -24,8 +24,8 @@
 
 const (
 	keepEntries   = 1024
-	snapshotEvery = 4096 // entries
-	applyFor      = time.Second
+	snapshotEvery = 4096                   // entries
+	applyFor      = 200 * time.Millisecond // at most, that a proposal holds up the driver
 	dialFor       = time.Second
 	connections   = 2 // kept to each other server
 )
