--- a/internal/decide/owner/holder.go
+++ b/internal/decide/owner/holder.go
@@ -74,7 +74,7 @@
 				h.hold(now, n, s.sentAt)
 			}
 		}
-		if o.Accepted && c.Kind != Do {
+		if o.Accepted && c.Kind != Do && c.Kind != Note {
 			h.own[n].heard = now
 		}
 		h.check(now, n)
@@ -195,6 +195,13 @@
 	return h.seq, true
 }
 
+// Note puts a word of this member's own into the log, under no token.
+func (h *Holder) Note(duty, body string) (seq uint64) {
+	h.seq++
+	h.host.Propose(Command{Kind: Note, Duty: duty, Member: h.member, Life: h.life, Seq: h.seq, Body: body})
+	return h.seq
+}
+
 // Leave: this process ends soon. It gives up what it holds, at once, and claims nothing more.
 func (h *Holder) Leave(now time.Duration) {
 	h.leaves = true
--- a/internal/decide/owner/owner.go
+++ b/internal/decide/owner/owner.go
@@ -29,6 +29,7 @@
 	Renew               // the holder goes on
 	Release             // the holder gives it up: whoever claims next need not wait
 	Do                  // a decision of the holder, for all members to act on
+	Note                // a member's own word under a duty: no token, no holder, and it changes nothing of the duty
 )
 
 // Command is one entry of the log, before it has an index. Member and Life name one process: under the same name a
@@ -41,7 +42,7 @@
 	Seq    uint64
 	Token  uint64 // Renew, Release, Do: the token under which it acts
 	Seen   uint64 // Claim: index of the entry that last renewed the duty; 0: none ever did
-	Body   string // Do: the decision, in the duty's own words
+	Body   string // Do, Note: in the duty's own words
 }
 
 // Lease is its length and what clocks may do to it; both the same in all members.
--- a/internal/decide/owner/owner_test.go
+++ b/internal/decide/owner/owner_test.go
@@ -237,6 +237,24 @@
 	}
 }
 
+func TestANoteNeedsNoTokenAndChangesNothing(t *testing.T) {
+	tab, _ := owner.NewTable("a")
+	tab.Apply(1, owner.Command{Kind: owner.Claim, Duty: "a", Member: "x", Life: 1})
+	before, _ := tab.At("a")
+	if o := tab.Apply(2, owner.Command{Kind: owner.Note, Duty: "a", Member: "y", Life: 2}); !o.Accepted {
+		t.Errorf("%+v", o)
+	}
+	if after, _ := tab.At("a"); after != before {
+		t.Errorf("%+v became %+v", before, after)
+	}
+	b, _ := tab.Encode()
+	if back, err := owner.Decode(b); err != nil || back.Index() != 2 {
+		t.Errorf("decoded: %v", err)
+	} else if d, _ := back.At("a"); d != before {
+		t.Errorf("decoded %+v, encoded %+v", d, before)
+	}
+}
+
 func TestTableRefusesWhatItDoesNotKnow(t *testing.T) {
 	if _, err := owner.NewTable("a", "a"); err == nil {
 		t.Error("a duty twice")
--- a/internal/decide/owner/table.go
+++ b/internal/decide/owner/table.go
@@ -78,6 +78,9 @@
 		*d = Duty{Holder: c.Member, Life: c.Life, Token: d.Token + 1, Renewed: index, Done: d.Done}
 		return Outcome{Accepted: true, Token: d.Token}
 	}
+	if c.Kind == Note {
+		return Outcome{Accepted: true, Token: d.Token}
+	}
 	if !d.fits(c) {
 		return Outcome{Token: d.Token, Why: fmt.Sprintf("%s: token %d of %s, expected %d of %s", c.Duty, c.Token, c.Member, d.Token, d.Holder)}
 	}
--- a/internal/decide/ring/agreed.go
+++ b/internal/decide/ring/agreed.go
@@ -3,6 +3,15 @@
 
 package ring
 
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
 // Agreed is the state that each member builds from the log's entries, in their order.
 type Agreed struct {
 	Table  *Table // in force
@@ -36,3 +45,89 @@
 	}
 	return version >= a.Table.Version
 }
+
+// Digest is the same for tables that hold alike: a member whose plan came out otherwise must not go by it.
+func (t *Table) Digest() uint64 {
+	h := xxhash.New()
+	for _, b := range t.backends {
+		_, _ = h.WriteString(b.Name + "\x00" + b.Zone + "\x00")
+	}
+	var two [2]byte
+	for _, b := range t.slots {
+		binary.LittleEndian.PutUint16(two[:], uint16(b))
+		_, _ = h.Write(two[:])
+	}
+	return h.Sum64()
+}
+
+type encoded struct {
+	Version  uint64
+	Backends []Backend
+	Slots    []byte // two bytes a slot, the least first
+}
+
+func (t *Table) encode() *encoded {
+	if t == nil {
+		return nil
+	}
+	e := &encoded{Version: t.Version, Backends: t.backends}
+	for _, b := range t.slots {
+		e.Slots = binary.LittleEndian.AppendUint16(e.Slots, uint16(b))
+	}
+	return e
+}
+
+func (e *encoded) decode() (*Table, error) {
+	if e == nil {
+		return nil, nil
+	}
+	t, err := New(len(e.Slots) / 2)
+	if err != nil {
+		return nil, err
+	}
+	t.Version = e.Version
+	if len(e.Backends) > 0 {
+		if t.backends, err = checked(e.Backends); err != nil {
+			return nil, err
+		}
+	}
+	t.alike = alike(t.backends)
+	for s := range t.slots {
+		if t.slots[s] = int16(binary.LittleEndian.Uint16(e.Slots[2*s:])); t.slots[s] < nobody || int(t.slots[s]) >= len(t.backends) {
+			return nil, fmt.Errorf("slot %d: holder found %d, expected one of %d backends", s, t.slots[s], len(t.backends))
+		}
+	}
+	return t, nil
+}
+
+// Encode is the state for a snapshot.
+func (a *Agreed) Encode() ([]byte, error) {
+	return json.Marshal(struct {
+		Table, Moving *encoded
+		Slots         []int
+	}{a.Table.encode(), a.Moving.encode(), a.Slots})
+}
+
+// Decode takes a snapshot. Errors: not one of ours; then nothing changed.
+func (a *Agreed) Decode(b []byte) error {
+	var e struct {
+		Table, Moving *encoded
+		Slots         []int
+	}
+	if err := json.Unmarshal(b, &e); err != nil {
+		return fmt.Errorf("ring: found no JSON object (%w)", err)
+	}
+	table, err := e.Table.decode()
+	if err == nil && table == nil {
+		err = errors.New("ring: found no table")
+	}
+	if err != nil {
+		return err
+	}
+	moving, err := e.Moving.decode()
+	if err != nil {
+		return err
+	}
+	a.Table, a.Moving, a.Slots = table, moving, e.Slots
+	return nil
+}
--- a/internal/decide/ring/move_test.go
+++ b/internal/decide/ring/move_test.go
@@ -242,3 +242,28 @@
 		t.Errorf("verdict %d on a slot on the move", v)
 	}
 }
+
+func TestASnapshotHoldsWhatIsAgreed(t *testing.T) {
+	empty, _ := New(16)
+	table, _, _ := planned(t, empty, backends(3), Band{})
+	next, moves, _ := planned(t, table, backends(4), Band{})
+	a := Agreed{Table: table}
+	a.Freeze(next, []int{moves[0].Slot})
+	b, err := a.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var back Agreed
+	if err := back.Decode(b); err != nil || back.Table.Digest() != table.Digest() || back.Moving.Digest() != next.Digest() ||
+		back.Moving.Version != next.Version || len(back.Slots) != 1 {
+		t.Errorf("%v: %+v", err, back)
+	}
+	if table.Digest() == next.Digest() {
+		t.Error("two tables with one digest")
+	}
+	for _, bad := range []string{"", "{}", `{"Table":{"Slots":"AAAA"}}`, `{"Table":{"Backends":[{"Name":"a","Weight":1}],"Slots":"BQAFAA=="}}`} {
+		if err := back.Decode([]byte(bad)); err == nil {
+			t.Errorf("%q was taken", bad)
+		}
+	}
+}
--- a/internal/decide/ring/plan.go
+++ b/internal/decide/ring/plan.go
@@ -45,8 +45,7 @@
 	if err != nil {
 		return nil, nil, 0, err
 	}
-	next = &Table{Version: t.Version + 1, backends: sorted, slots: make([]int16, len(t.slots)), mask: t.mask,
-		alike: !slices.ContainsFunc(sorted, func(b Backend) bool { return b.Weight != sorted[0].Weight })}
+	next = &Table{Version: t.Version + 1, backends: sorted, slots: make([]int16, len(t.slots)), mask: t.mask, alike: alike(sorted)}
 	place := make([]int16, len(t.backends)) // of the old backends among the new
 	for n, b := range t.backends {
 		place[n] = nobody
@@ -110,6 +109,11 @@
 	return next, moves, least, nil
 }
 
+// alike tells whether all weights are the same.
+func alike(backends []Backend) bool {
+	return !slices.ContainsFunc(backends, func(b Backend) bool { return b.Weight != backends[0].Weight })
+}
+
 // targets is how many slots each shall hold: what it holds, brought within the band, then as few steps as make the
 // sum right. Up costs nothing more (it takes what must be given out anyway), so heirs with wants go first; down only
 // where too few give.
--- a/internal/fleet/log/driver.go
+++ b/internal/fleet/log/driver.go
@@ -16,6 +16,8 @@
 	Held(duty string, token uint64)
 	Lost(duty string)
 	Entry(index uint64, c owner.Command, o owner.Outcome) // each entry, in order
+	Restored(machine []byte)                              // a snapshot took the place of those so far
+	Tick(now time.Duration)                               // often beside a lease
 }
 
 // Driver is one member's duties.
@@ -86,6 +88,7 @@
 				d.holder.CaughtUp(d.now())
 			}
 			d.holder.Tick(d.now())
+			d.watch.Tick(d.now())
 		}
 	}
 }
@@ -108,7 +111,12 @@
 }
 
 // Restored implements Reader.
-func (d *Driver) Restored(t *owner.Table) { d.do(func() { d.holder.Restored(d.now(), t) }) }
+func (d *Driver) Restored(t *owner.Table, machine []byte) {
+	d.do(func() {
+		d.holder.Restored(d.now(), t)
+		d.watch.Restored(machine)
+	})
+}
 
 // Propose implements owner.Host: into the log here, or to the leader.
 func (d *Driver) Propose(c owner.Command) {
@@ -148,6 +156,18 @@
 	})
 }
 
+// DecideNow and Note are for the Watcher, on the driver's goroutine.
+func (d *Driver) DecideNow(duty, body string) bool {
+	_, ok := d.holder.Decide(d.now(), duty, body)
+	return ok
+}
+
+// Note puts a word of this member's own into the log; it comes back as an entry with this Seq, or never.
+func (d *Driver) Note(duty, body string) (seq uint64) { return d.holder.Note(duty, body) }
+
+// Now is the driver's clock.
+func (d *Driver) Now() time.Duration { return d.now() }
+
 // Placed tells this member's turn to claim a duty that comes free.
 func (d *Driver) Placed(duty string, place int) { d.do(func() { d.holder.Placed(duty, place) }) }
 
--- a/internal/fleet/log/log.go
+++ b/internal/fleet/log/log.go
@@ -37,14 +37,23 @@
 	Advertise string        // where the others reach it, if not at Bind
 	Found     bool          // the log begins with this process: once in a fleet's life, never again
 	Duties    []string      // the same in all members
+	Machine   Machine       // what else is built from the entries and outlives a snapshot; nil: nothing
 	Beat      time.Duration // a leader silent for so long is replaced; 50 ms and more, 0: 500 ms
 	Out       io.Writer     // raft's own lines; nil: none
 }
 
+// Machine is a state that every member builds alike from the entries, on raft's goroutine. What it encodes replaces all
+// entries so far in a member that joins late.
+type Machine interface {
+	Apply(index uint64, c owner.Command, o owner.Outcome)
+	Encode() ([]byte, error)
+	Decode(b []byte) error
+}
+
 // Reader hears the log, from raft's goroutine, in the entries' order.
 type Reader interface {
 	Entry(index uint64, c owner.Command)
-	Restored(t *owner.Table) // a snapshot took the place of all before
+	Restored(t *owner.Table, machine []byte) // a snapshot took the place of all before
 }
 
 // Log is one process's end of it.
@@ -52,7 +61,8 @@
 	raft   *raft.Raft
 	stores *raft.InmemStore
 	reader Reader
-	table  *owner.Table // for snapshots; raft's goroutine alone
+	table  *owner.Table // for snapshots, and the machine; raft's goroutine alone
+	more   Machine
 }
 
 // ErrNotLeader is of a proposal made elsewhere than at the leader.
@@ -80,7 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Log{reader: r, table: table, stores: raft.NewInmemStore()}
+	l := &Log{reader: r, table: table, more: c.Machine, stores: raft.NewInmemStore()}
 	snapshots := raft.NewInmemSnapshotStore()
 	transport := raft.NewNetworkTransportWithLogger(layer, connections, dialFor, logger)
 	if c.Found {
@@ -135,28 +145,54 @@
 	if err := json.Unmarshal(e.Data, &c); err != nil {
 		return err // an entry of another version: the same in every member that reads it so
 	}
-	m.l.table.Apply(e.Index, c)
+	o := m.l.table.Apply(e.Index, c)
+	if m.l.more != nil {
+		m.l.more.Apply(e.Index, c, o)
+	}
 	m.l.reader.Entry(e.Index, c)
 	return nil
 }
 
 func (m machine) Snapshot() (raft.FSMSnapshot, error) {
-	b, err := m.l.table.Encode()
+	var k kept
+	var err error
+	if k.Table, err = m.l.table.Encode(); err == nil && m.l.more != nil {
+		k.Machine, err = m.l.more.Encode()
+	}
+	if err != nil {
+		return nil, err
+	}
+	b, err := json.Marshal(k)
 	return snapshot(b), err
 }
 
+// kept is a snapshot's form.
+type kept struct {
+	Table   json.RawMessage
+	Machine []byte
+}
+
 func (m machine) Restore(r io.ReadCloser) error {
 	defer r.Close()
 	b, err := io.ReadAll(io.LimitReader(r, 1<<20))
 	if err != nil {
 		return err
 	}
-	t, err := owner.Decode(b)
+	var k kept
+	if err := json.Unmarshal(b, &k); err != nil {
+		return err
+	}
+	t, err := owner.Decode(k.Table)
 	if err != nil {
 		return err
 	}
+	if m.l.more != nil {
+		if err := m.l.more.Decode(k.Machine); err != nil {
+			return err
+		}
+	}
 	m.l.table = t
-	m.l.reader.Restored(t.Copy())
+	m.l.reader.Restored(t.Copy(), k.Machine)
 	return nil
 }
 
--- a/internal/fleet/log/log_test.go
+++ b/internal/fleet/log/log_test.go
@@ -70,6 +70,9 @@
 	t.tell(line{What: "entry", Duty: c.Duty, Token: c.Token, Index: index, Kind: c.Kind, Accepted: o.Accepted})
 }
 
+func (t *teller) Restored([]byte)    {}
+func (t *teller) Tick(time.Duration) {}
+
 // quiet is a member.Watcher that hears nothing: the view is asked for.
 type quiet struct{}
 
