--- a/internal/decide/ring/move.go
+++ b/internal/decide/ring/move.go
@@ -36,7 +36,8 @@
 	members map[string]heard // at most MostMembers, emptied by Left and by time
 	next    *Table
 	slots   []int
-	frozen  bool // the freeze is in the log
+	frozen  bool          // the freeze is in the log
+	again   time.Duration // when the step that is owed is said again: entries may be lost
 }
 
 // MostMembers bounds the fleet that a Mover waits for.
@@ -59,7 +60,7 @@
 }
 
 // Start begins a plan; false while another is under way.
-func (m *Mover) Start(next *Table, moves []Move) bool {
+func (m *Mover) Start(now time.Duration, next *Table, moves []Move) bool {
 	if m.next != nil {
 		return false
 	}
@@ -68,17 +69,38 @@
 		m.slots = append(m.slots, mv.Slot)
 	}
 	slices.Sort(m.slots)
-	m.host.Freeze(m.next, m.slots)
+	m.again = now
+	m.step(now)
 	return true
 }
 
 // Busy tells whether a plan is under way.
 func (m *Mover) Busy() bool { return m.next != nil }
 
+// step says what is owed, and again a quarter of a lease later while it is.
+func (m *Mover) step(now time.Duration) {
+	if now < m.again {
+		return
+	}
+	m.again = now + m.terms.Length/4
+	if m.frozen {
+		m.host.Open(m.next)
+	} else {
+		m.host.Freeze(m.next, m.slots)
+	}
+}
+
+// Opened: the table of this version is in force.
+func (m *Mover) Opened(version uint64) {
+	if m.next != nil && m.next.Version <= version {
+		m.next, m.slots, m.frozen = nil, nil, false
+	}
+}
+
 // Frozen: the freeze is in the log. Whoever joins from now on hears of it before it may call.
 func (m *Mover) Frozen(version uint64) {
-	if m.next != nil && m.next.Version == version {
-		m.frozen = true
+	if m.next != nil && m.next.Version == version && !m.frozen {
+		m.frozen, m.again = true, 0
 	}
 }
 
@@ -106,10 +128,8 @@
 		}
 	}
 	slices.Sort(waits)
-	if m.frozen && len(waits) == 0 {
-		next := m.next
-		m.next, m.slots, m.frozen = nil, nil, false
-		m.host.Open(next)
+	if m.next != nil && len(waits) == 0 {
+		m.step(now)
 	}
 	return waits
 }
--- a/internal/decide/ring/move_test.go
+++ b/internal/decide/ring/move_test.go
@@ -90,6 +90,7 @@
 					if m.agreed.Open(e.version) {
 						m.calls.Opened(m.agreed.Table)
 						if m == owner {
+							mover.Opened(e.version)
 							opened++
 							stall = max(stall, now-began)
 						}
@@ -121,7 +122,7 @@
 		if !owner.paused && !owner.deaf {
 			if !mover.Busy() && owner.agreed.Moving == nil && r.IntN(40) == 0 {
 				next, moves, _, _ := owner.agreed.Table.Plan(backends(6)[r.IntN(3):3+r.IntN(4)], Band{}, nil)
-				mover.Start(next, moves)
+				mover.Start(clock(owner), next, moves)
 			}
 			mover.Tick(clock(owner))
 		}
@@ -157,15 +158,11 @@
 type sends struct{ flight *[]entry }
 
 func (s *sends) Freeze(next *Table, slots []int) {
-	for range 3 { // said again until heard, as entries are lost; a second one is refused
-		*s.flight = append(*s.flight, entry{what: "freeze", table: next, slots: slots})
-	}
+	*s.flight = append(*s.flight, entry{what: "freeze", table: next, slots: slots})
 }
 
 func (s *sends) Open(next *Table) {
-	for range 3 {
-		*s.flight = append(*s.flight, entry{what: "open", version: next.Version})
-	}
+	*s.flight = append(*s.flight, entry{what: "open", version: next.Version})
 }
 
 func deleteOver(out []call, now time.Duration) (kept []call) {
--- a/internal/fleet/log/log_test.go
+++ b/internal/fleet/log/log_test.go
@@ -1,13 +1,10 @@
 package log
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"os"
-	"os/exec"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,10 +12,10 @@
 	"testing"
 	"time"
 
+	"thymechute/internal/aid"
 	"thymechute/internal/decide/owner"
 	"thymechute/internal/decide/voters"
 	"thymechute/internal/fleet/member"
-	"thymechute/internal/stand/faultnet"
 )
 
 var (
@@ -39,7 +36,7 @@
 
 // TestMain: the test binary is also the process under test, until its standard input closes or its time is up.
 func TestMain(m *testing.M) {
-	if os.Getenv("LOG_CHILD") != "" {
+	if os.Getenv("PACK_NAME") != "" {
 		child()
 		return
 	}
@@ -83,23 +80,23 @@
 
 func child() {
 	go func() { time.Sleep(100 * time.Second); os.Exit(3) }() // bounded, whatever the parent does
-	name, bind, at, front := os.Getenv("LOG_CHILD"), os.Getenv("LOG_MEMBER"), os.Getenv("LOG_BIND"), os.Getenv("LOG_FRONT")
+	name, bind, at, front := os.Getenv("PACK_NAME"), os.Getenv("PACK_BIND0"), os.Getenv("PACK_BIND1"), os.Getenv("PACK_FRONT1")
 	life := uint64(time.Now().UnixNano())
 	process := fmt.Sprintf("%s#%x", name, life)
 	t := &teller{}
 	var seeds []string
-	if s := os.Getenv("LOG_SEED"); s != "" {
+	if s := os.Getenv("PACK_SEED"); s != "" {
 		seeds = []string{s}
 	}
-	record := member.Record{Zone: os.Getenv("LOG_ZONE"), Rank: -1, Process: process, Log: front}
+	record := member.Record{Zone: os.Getenv("PACK_ZONE"), Rank: -1, Process: process, Log: front}
 	ready := make(chan struct{})
-	m, err := member.Start(member.Config{Name: name, Bind: bind, Advertise: os.Getenv("LOG_MEMBER_FRONT"), Seeds: seeds, Most: 16, Probe: 200 * time.Millisecond,
+	m, err := member.Start(member.Config{Name: name, Bind: bind, Advertise: os.Getenv("PACK_FRONT0"), Seeds: seeds, Most: 16, Probe: 200 * time.Millisecond,
 		Sync: 500 * time.Millisecond, Record: record, Message: func(b []byte) { <-ready; t.d.Incoming(b) }}, quiet{})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	t.d, err = Drive(Config{Process: process, Bind: at, Advertise: front, Found: os.Getenv("LOG_FOUND") != "", Duties: []string{"ring", "roll"},
+	t.d, err = Drive(Config{Process: process, Bind: at, Advertise: front, Found: os.Getenv("PACK_FOUND") != "", Duties: []string{"ring", "roll"},
 		Beat: 300 * time.Millisecond}, lease, life, t, func(to string, b []byte) error { return m.Send(to[:strings.IndexByte(to, '#')], b) })
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -159,146 +156,33 @@
 	t.d.Stop()
 }
 
-type process struct {
-	cmd   *exec.Cmd
-	stdin io.Closer
+func heldBy(duty string, over uint64) func(line) bool {
+	return func(l line) bool { return l.What == "held" && l.Duty == duty && l.Token > over }
 }
 
-// pack is the parent's side: five processes, all that they told, and what waits for a line.
 type pack struct {
-	t       *testing.T
-	mu      sync.Mutex
-	lines   []line
-	more    chan struct{}
-	runs    map[string]*process
-	address map[string][2]string // what the others reach its member and its log at: their proxies
-	binds   map[string][2]string
-	net     *faultnet.Net
-}
-
-func port(t *testing.T, ip string) string {
-	for range 20 {
-		l, err := net.Listen("tcp", ip+":0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		a := l.Addr().String()
-		l.Close()
-		if u, err := net.ListenPacket("udp", a); err == nil {
-			u.Close()
-			return a
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
-func (p *pack) start(name string, found bool) {
-	n, _ := strconv.Atoi(name[1:])
-	if _, known := p.address[name]; !known {
-		at, before := fmt.Sprintf("127.0.6.%d", n+1), fmt.Sprintf("127.0.7.%d", n+1)
-		p.binds[name] = [2]string{port(p.t, at), port(p.t, at)}
-		p.address[name] = [2]string{port(p.t, before), port(p.t, before)}
-		for k := range 2 {
-			if err := p.net.Front(name, p.binds[name][k], p.address[name][k]); err != nil {
-				p.t.Fatal(err)
-			}
-		}
-	}
-	cmd := exec.Command(os.Args[0], "-test.run=^$")
-	cmd.Env = append(os.Environ(), "LOG_CHILD="+name, "LOG_MEMBER="+p.binds[name][0], "LOG_BIND="+p.binds[name][1],
-		"LOG_MEMBER_FRONT="+p.address[name][0], "LOG_FRONT="+p.address[name][1],
-		"LOG_ZONE=z"+fmt.Sprint(n%3))
-	if found {
-		cmd.Env = append(cmd.Env, "LOG_FOUND=1")
-	}
-	for other, a := range p.address {
-		if other != name {
-			cmd.Env = append(cmd.Env, "LOG_SEED="+a[0])
-			break
-		}
-	}
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	cmd.Stderr = os.Stderr
-	stdin, err1 := cmd.StdinPipe()
-	out, err2 := cmd.StdoutPipe()
-	if err1 != nil || err2 != nil {
-		p.t.Fatal(err1, err2)
-	}
-	if err := cmd.Start(); err != nil {
-		p.t.Fatal(err)
-	}
-	p.runs[name] = &process{cmd, stdin}
-	go func() {
-		for in := bufio.NewScanner(out); in.Scan(); {
-			l := line{name: name}
-			if json.Unmarshal(in.Bytes(), &l) == nil {
-				p.mu.Lock()
-				p.lines = append(p.lines, l)
-				p.mu.Unlock()
-				select {
-				case p.more <- struct{}{}:
-				default:
-				}
-			}
-		}
-	}()
-}
-
-// until waits for a line from the from-th on, and returns it.
-func (p *pack) until(what string, from int, holds func(line) bool) line {
-	p.t.Helper()
-	limit := time.After(25 * time.Second)
-	for {
-		p.mu.Lock()
-		for _, l := range p.lines[from:] {
-			if holds(l) {
-				p.mu.Unlock()
-				return l
-			}
-		}
-		p.mu.Unlock()
-		select {
-		case <-p.more:
-		case <-limit:
-			for _, l := range p.lines { // what was changed, for whoever reads this
-				if l.What == "change" || l.What == "leads" {
-					p.t.Logf("%s %s %d %s", l.name, l.What, l.Kind, l.Why)
-				}
-			}
-			p.t.Fatalf("no %s", what)
-		}
-	}
-}
-
-func (p *pack) told() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.lines)
-}
-
-func heldBy(duty string, over uint64) func(line) bool {
-	return func(l line) bool { return l.What == "held" && l.Duty == duty && l.Token > over }
+	*aid.Pack[line]
+	t *testing.T
 }
 
 // five starts the processes, each behind its proxies, and waits until all vote.
 func five(t *testing.T) *pack {
-	p := &pack{t: t, more: make(chan struct{}, 1), runs: map[string]*process{}, address: map[string][2]string{},
-		binds: map[string][2]string{}, net: faultnet.New(1)}
-	t.Cleanup(func() {
-		for _, r := range p.runs {
-			_ = r.cmd.Process.Kill()
-			_ = r.cmd.Wait()
+	p := &pack{aid.NewPack(t, 6, 2, func(l *line, name string) { l.name = name }), t}
+	for n := range 5 {
+		more := []string{"PACK_ZONE=z" + fmt.Sprint(n%3)}
+		if n == 0 {
+			more = append(more, "PACK_FOUND=1")
+		}
+		if p.Start(fmt.Sprint("m", n), more...); n == 0 {
+			p.Until("first leader", 0, func(l line) bool { return l.What == "leads" })
 		}
-		p.net.Close()
-	})
-	p.start("m0", true)
-	p.until("first leader", 0, func(l line) bool { return l.What == "leads" })
-	for n := range 4 {
-		p.start(fmt.Sprint("m", n+1), false)
 	}
-	p.until("five voters", 0, func(l line) bool {
-		return l.What == "change" && strings.HasPrefix(l.Why, "nothing to change") && p.votes() == 5
+	votes := 1
+	p.Until("five voters", 0, func(l line) bool {
+		if l.What == "change" && voters.Kind(l.Kind) == voters.Vote {
+			votes++
+		}
+		return l.What == "change" && strings.HasPrefix(l.Why, "nothing to change") && votes == 5
 	})
 	return p
 }
@@ -307,30 +191,30 @@
 // the two. Each time another takes over once its lease is over, and what it says after the heal changes nothing.
 func TestOneOwnerThroughCutsAndAPartition(t *testing.T) {
 	p := five(t)
-	all := []string{"m0", "m1", "m2", "m3", "m4"}
-	p.until("an owner", 0, heldBy("ring", 0))
+	all := p.Names()
+	p.Until("an owner", 0, heldBy("ring", 0))
 	for _, c := range []struct {
 		what string
 		cut  func(owner string, others []string)
 	}{
-		{"cut off", func(o string, _ []string) { p.net.Isolate(o, all) }},
+		{"cut off", func(o string, _ []string) { p.Net.Isolate(o, all) }},
 		{"not heard", func(o string, others []string) {
 			for _, other := range others {
-				p.net.Cut(o, other)
+				p.Net.Cut(o, other)
 			}
 		}},
-		{"in the smaller part", func(o string, others []string) { p.net.Partition([]string{o, others[0]}, others[1:]) }},
+		{"in the smaller part", func(o string, others []string) { p.Net.Partition([]string{o, others[0]}, others[1:]) }},
 	} {
-		held := p.last(heldBy("ring", 0))
+		held := p.Last(heldBy("ring", 0))
 		var others []string
 		for _, name := range all {
 			if name != held.name {
 				others = append(others, name)
 			}
 		}
-		from, began := p.told(), time.Now()
+		from, began := p.Told(), time.Now()
 		c.cut(held.name, others)
-		next := p.until("a successor of the owner "+c.what, from, heldBy("ring", held.Token))
+		next := p.Until("a successor of the owner "+c.what, from, heldBy("ring", held.Token))
 		t.Logf("%s, replaced after %v", c.what, time.Since(began).Round(time.Millisecond))
 		if next.name == held.name {
 			t.Errorf("%s: %s succeeds itself", c.what, held.name)
@@ -338,9 +222,9 @@
 		if c.what == "in the smaller part" && next.name == others[0] {
 			t.Errorf("the smaller part has an owner of its own: %s", next.name)
 		}
-		p.net.Heal()
-		from = p.told()
-		p.until(held.name+" hearing the log again", from, func(l line) bool { return l.What == "entry" && l.name == held.name && l.Token > held.Token })
+		p.Net.Heal()
+		from = p.Told()
+		p.Until(held.name+" hearing the log again", from, func(l line) bool { return l.What == "entry" && l.name == held.name && l.Token > held.Token })
 	}
 	p.check(false)
 }
@@ -349,85 +233,56 @@
 // voter killed and started cold in the middle of the election.
 func TestOneOwnerThroughPauseKillAndColdRestarts(t *testing.T) {
 	p := five(t)
-	ring := p.until("an owner", 0, heldBy("ring", 0))
-	ring = p.last(heldBy("ring", 0))
-	from := p.told()
-	_ = p.runs[ring.name].cmd.Process.Signal(syscall.SIGSTOP)
+	ring := p.Until("an owner", 0, heldBy("ring", 0))
+	ring = p.Last(heldBy("ring", 0))
+	from := p.Told()
+	p.Signal(ring.name, syscall.SIGSTOP)
 	stopped := time.Now()
-	next := p.until("a successor of the stopped owner", from, heldBy("ring", ring.Token))
+	next := p.Until("a successor of the stopped owner", from, heldBy("ring", ring.Token))
 	t.Logf("stopped owner replaced after %v", time.Since(stopped).Round(time.Millisecond))
 	time.Sleep(time.Second - min(time.Since(stopped), time.Second)) // it stands still for more than a lease in any case
-	_ = p.runs[ring.name].cmd.Process.Signal(syscall.SIGCONT)
-	p.until("the late command in the log", from, func(l line) bool {
+	p.Signal(ring.name, syscall.SIGCONT)
+	p.Until("the late command in the log", from, func(l line) bool {
 		return l.What == "entry" && l.Kind == owner.Do && l.Duty == "ring" && l.Token == ring.Token && !l.Accepted
 	})
 
-	from = p.told()
+	from = p.Told()
 	killed := time.Now()
-	p.kill(next.name)
-	p.until("a successor of the killed owner", from, heldBy("ring", next.Token))
+	p.Kill(next.name)
+	p.Until("a successor of the killed owner", from, heldBy("ring", next.Token))
 	t.Logf("killed owner replaced after %v", time.Since(killed).Round(time.Millisecond))
-	p.start(next.name, false)
-	p.until("the cold one's entries", p.told(), func(l line) bool { return l.What == "entry" && l.name == next.name })
-	p.until("the dead voter dropped", from, func(l line) bool {
+	p.Start(next.name)
+	p.Until("the cold one's entries", p.Told(), func(l line) bool { return l.What == "entry" && l.name == next.name })
+	p.Until("the dead voter dropped", from, func(l line) bool {
 		return l.What == "change" && voters.Kind(l.Kind) == voters.Drop && strings.Contains(l.Why, " "+next.name+"#")
 	})
-	p.until("five good voters again", p.told(), func(l line) bool { return l.What == "entry" }) // the log goes on
+	p.Until("five good voters again", p.Told(), func(l line) bool { return l.What == "entry" }) // the log goes on
 
-	lead := p.last(func(l line) bool { return l.What == "leads" && l.name != "" })
+	lead := p.Last(func(l line) bool { return l.What == "leads" && l.name != "" })
 	other := "m1"
 	if lead.name == other {
 		other = "m2"
 	}
-	from = p.told()
-	token := p.last(heldBy("ring", 0)).Token
-	p.kill(lead.name)
-	p.kill(other) // in the middle of the election
-	p.start(lead.name, false)
-	p.start(other, false)
-	p.until("a leader after the cold restarts", from, func(l line) bool { return l.What == "leads" })
-	p.until("a decision after them", from, func(l line) bool {
+	from = p.Told()
+	token := p.Last(heldBy("ring", 0)).Token
+	p.Kill(lead.name)
+	p.Kill(other) // in the middle of the election
+	p.Start(lead.name)
+	p.Start(other)
+	p.Until("a leader after the cold restarts", from, func(l line) bool { return l.What == "leads" })
+	p.Until("a decision after them", from, func(l line) bool {
 		return l.What == "entry" && l.Kind == owner.Do && l.Accepted && l.Duty == "ring" && l.Token >= token
 	})
 	p.check(true)
 }
 
-func (p *pack) kill(name string) {
-	_ = p.runs[name].cmd.Process.Kill()
-	_ = p.runs[name].cmd.Wait()
-}
-
-func (p *pack) last(holds func(line) bool) (last line) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, l := range p.lines {
-		if holds(l) {
-			last = l
-		}
-	}
-	return last
-}
-
-// votes counts the voters by the changes told so far; the caller holds the lines.
-func (p *pack) votes() int {
-	n := 1
-	for _, l := range p.lines {
-		if l.What == "change" && voters.Kind(l.Kind) == voters.Vote {
-			n++
-		}
-	}
-	return n
-}
-
 // check is over all that was told: one log in all, no stale command taken, no decision of an owner after its
 // successor's first, one leader a term.
 func (p *pack) check(woken bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	entries, leaders := map[uint64]line{}, map[uint64]string{}
 	first, lastOf := map[string]int64{}, map[string]int64{}
 	tried, accepted := 0, 0
-	for _, l := range p.lines {
+	for _, l := range p.Lines() {
 		switch l.What {
 		case "entry":
 			e, known := entries[l.Index]
--- /dev/null
+++ b/internal/fleet/slots/slots.go
@@ -0,0 +1,354 @@
+// Package slots carries the ring (internal/decide/ring) over the agreed log (internal/fleet/log): the owner of the duty
+// "ring" plans and moves, every member builds the same tables from the entries, acknowledges them, and calls by them
+// under its lease. It owns the entries' words and one member's calls in flight, and must never decide where a slot
+// belongs, nor let a call out that the ring's Calls does not allow.
+//
+// No table is sent: a freeze names the backends, every member makes the same plan of it, and a digest shows that it did.
+// One whose plan came out otherwise (another build) goes by no table any more, and says so.
+//
+// Tables: calls in flight at most MostCalls, each emptied by Done; acknowledgements in flight at most mostAcks, the
+// oldest goes first; the rest is the ring's.
+package slots
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"thymechute/internal/decide/owner"
+	"thymechute/internal/decide/ring"
+)
+
+// Duty is the ring's.
+const Duty = "ring"
+
+// MostCalls in flight at one member.
+const MostCalls = 1 << 16
+
+const mostAcks = 16
+
+// word is the body of an entry; one of them.
+type word struct {
+	Freeze *freeze `json:"freeze,omitempty"`
+	Open   uint64  `json:"open,omitempty"` // the version
+	Ack    uint64  `json:"ack,omitempty"`  // the version that its sender goes by
+	Ends   bool    `json:"ends,omitempty"` // its sender has ended its calls and makes no more
+}
+
+type freeze struct {
+	Version  uint64         `json:"version"`
+	Backends []ring.Backend `json:"backends"`
+	Slack    float64        `json:"slack"`
+	Digest   uint64         `json:"digest"`
+}
+
+// Log is what a Keeper says its words by.
+type Log interface {
+	DecideNow(duty, body string) bool
+	Note(duty, body string) (seq uint64)
+	Now() time.Duration
+}
+
+// Config of a Keeper; the same in all members, but for Process and Life.
+type Config struct {
+	Process string
+	Life    uint64
+	Slots   int
+	Terms   ring.Terms
+	Band    ring.Band
+	Say     func(line string) // one line to the operators
+}
+
+// Keeper is one member's ring. Its methods but Begin, Done and Want are called on the log driver's goroutine.
+type Keeper struct {
+	c   Config
+	log Log
+
+	mu     sync.Mutex // guards all below, for Begin and Done
+	agreed ring.Agreed
+	calls  *ring.Calls
+	out    map[int]int // calls in flight by slot
+	outAll int
+	broken bool // its plan differs from the fleet's
+
+	mover   *ring.Mover // at the owner
+	want    []ring.Backend
+	heard   map[string]time.Duration // acknowledgements: by process, when; emptied by time
+	sent    []sent
+	nextAck time.Duration
+	ends    bool
+}
+
+type sent struct {
+	seq uint64
+	at  time.Duration
+}
+
+// New is of a process that has just started: it has no table until it has heard one.
+func New(c Config, log Log) (*Keeper, error) {
+	empty, err := ring.New(c.Slots)
+	if err != nil {
+		return nil, err
+	}
+	return &Keeper{c: c, log: log, agreed: ring.Agreed{Table: empty}, calls: ring.NewCalls(empty), out: map[int]int{},
+		heard: map[string]time.Duration{}}, nil
+}
+
+// Want tells the backends that should be there; the owner acts on its own.
+func (k *Keeper) Want(backends []ring.Backend) {
+	k.mu.Lock()
+	k.want = slices.Clone(backends)
+	k.mu.Unlock()
+}
+
+// Held: this member owns the ring from now on.
+func (k *Keeper) Held(now time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var known []string
+	for process := range k.heard {
+		known = append(known, process)
+	}
+	k.mover = ring.NewMover(now, mover{k}, k.c.Terms, known, k.agreed.Moving, k.agreed.Slots)
+}
+
+// Lost: it does not any more.
+func (k *Keeper) Lost() {
+	k.mu.Lock()
+	k.mover = nil
+	k.mu.Unlock()
+}
+
+// Entry is one of the log's, with what became of it.
+func (k *Keeper) Entry(now time.Duration, c owner.Command, o owner.Outcome) {
+	if c.Duty != Duty || !o.Accepted || c.Body == "" {
+		return
+	}
+	var w word
+	if json.Unmarshal([]byte(c.Body), &w) != nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case c.Kind == owner.Do && w.Freeze != nil:
+		if next, slots, ok := k.c.follow(&k.agreed, *w.Freeze); ok {
+			k.calls.Frozen(slots)
+			k.nextAck = now
+			if k.mover != nil {
+				k.mover.Frozen(next.Version)
+			}
+		} else if next != nil && !k.broken {
+			k.broken = true
+			k.c.Say(fmt.Sprintf("ring: plan %d came out otherwise than the fleet's: no calls by it; is this another build?", next.Version))
+		}
+	case c.Kind == owner.Do && w.Open != 0:
+		if k.agreed.Open(w.Open) {
+			k.calls.Opened(k.agreed.Table)
+			if k.mover != nil {
+				k.mover.Opened(w.Open)
+			}
+			k.c.Say(fmt.Sprintf("ring: table %d", w.Open))
+		}
+	case c.Kind == owner.Note && w.Ack != 0:
+		k.acknowledged(now, c, w)
+	case c.Kind == owner.Note && w.Ends:
+		delete(k.heard, c.Member)
+		if k.mover != nil {
+			k.mover.Left(c.Member)
+		}
+	}
+}
+
+// follow makes the plan that a freeze names. next without ok: it differs.
+func (c *Config) follow(a *ring.Agreed, f freeze) (next *ring.Table, slots []int, ok bool) {
+	next, moves, _, err := a.Table.Plan(f.Backends, ring.Band{Slack: f.Slack}, nil)
+	if err != nil || next.Version != f.Version || a.Moving != nil {
+		return nil, nil, false
+	}
+	if next.Digest() != f.Digest {
+		return next, nil, false
+	}
+	for _, m := range moves {
+		slots = append(slots, m.Slot)
+	}
+	return next, slots, a.Freeze(next, slots)
+}
+
+func (k *Keeper) acknowledged(now time.Duration, c owner.Command, w word) {
+	if !k.agreed.Confirms(w.Ack) {
+		return
+	}
+	if _, known := k.heard[c.Member]; known || len(k.heard) < ring.MostMembers {
+		k.heard[c.Member] = now
+	}
+	if k.mover != nil {
+		k.mover.Acknowledged(now, c.Member, w.Ack)
+	}
+	if c.Member != k.c.Process || c.Life != k.c.Life {
+		return
+	}
+	for n, s := range k.sent {
+		if s.seq == c.Seq {
+			k.sent = slices.Delete(k.sent, 0, n+1)
+			k.calls.Confirmed(s.at, k.c.Terms)
+			return
+		}
+	}
+}
+
+// Restored takes a snapshot's state; what it can't read leaves this member without a table.
+func (k *Keeper) Restored(machine []byte) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err := k.agreed.Decode(machine); err != nil {
+		k.broken = true
+		k.c.Say("ring: " + err.Error())
+		return
+	}
+	k.calls.Opened(k.agreed.Table)
+	k.calls.Frozen(k.agreed.Slots)
+}
+
+// Tick acknowledges, and at the owner begins and carries on what is to move.
+func (k *Keeper) Tick(now time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if now >= k.nextAck && !k.forbidden() && !k.ends && !k.broken {
+		version := k.agreed.Table.Version
+		if k.agreed.Moving != nil {
+			version = k.agreed.Moving.Version
+		}
+		if version > 0 {
+			k.say(word{Ack: version}, now)
+		}
+	}
+	for process, at := range k.heard {
+		if now-at > 2*k.c.Terms.Length {
+			delete(k.heard, process)
+		}
+	}
+	if k.mover == nil {
+		return
+	}
+	k.mover.Tick(now)
+	if k.mover.Busy() || k.agreed.Moving != nil || len(k.want) == 0 {
+		return
+	}
+	if next, moves, _, err := k.agreed.Table.Plan(k.want, k.c.Band, nil); err == nil && (len(moves) > 0 || len(k.agreed.Table.Backends()) == 0) {
+		k.mover.Start(now, next, moves)
+	}
+}
+
+// forbidden: a call is out on a slot that moves.
+func (k *Keeper) forbidden() bool {
+	for _, s := range k.agreed.Slots {
+		if k.out[s] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *Keeper) say(w word, now time.Duration) {
+	b, _ := json.Marshal(w)
+	if k.sent = append(k.sent, sent{k.log.Note(Duty, string(b)), now}); len(k.sent) > mostAcks {
+		k.sent = slices.Delete(k.sent, 0, 1)
+	}
+	k.nextAck = now + k.c.Terms.Length/5
+}
+
+// Begin asks for a call on a key now; twice: it may run twice without harm. Where it may go (Go, Stale) Done must be
+// called once it is over, with the slot; it must be over by until, on the log driver's clock (0: no bound).
+func (k *Keeper) Begin(key string, twice bool) (b *ring.Backend, slot int, until time.Duration, v ring.Verdict) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if slot = k.agreed.Table.Slot(key); k.broken || k.ends || k.outAll >= MostCalls {
+		return nil, slot, 0, ring.Expired
+	}
+	b, until, v = k.calls.May(k.log.Now(), slot, twice)
+	if v == ring.Go || v == ring.Stale {
+		k.out[slot]++
+		k.outAll++
+	}
+	return b, slot, until, v
+}
+
+// Done is the end of a call that Begin let out.
+func (k *Keeper) Done(slot int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.out[slot]--; k.out[slot] <= 0 {
+		delete(k.out, slot)
+	}
+	k.outAll--
+}
+
+// Leave: no more calls. True once none is out; the fleet has then been told, and need not wait for its lease.
+func (k *Keeper) Leave() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.ends = true
+	if k.outAll > 0 {
+		return false
+	}
+	b, _ := json.Marshal(word{Ends: true})
+	k.log.Note(Duty, string(b))
+	return true
+}
+
+// Version is that of the table in force here.
+func (k *Keeper) Version() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.agreed.Table.Version
+}
+
+// mover says the owner's words; the Mover says them again where they are lost.
+type mover struct{ k *Keeper }
+
+// Freeze implements ring.MoverHost.
+func (m mover) Freeze(next *ring.Table, _ []int) {
+	m.decide(word{Freeze: &freeze{next.Version, next.Backends(), m.k.c.Band.Slack, next.Digest()}})
+}
+
+// Open implements ring.MoverHost.
+func (m mover) Open(next *ring.Table) { m.decide(word{Open: next.Version}) }
+
+func (m mover) decide(w word) {
+	b, _ := json.Marshal(w)
+	m.k.log.DecideNow(Duty, string(b))
+}
+
+// State is the same agreed state on raft's goroutine, for snapshots alone.
+type State struct {
+	c      Config
+	agreed ring.Agreed
+}
+
+// NewState goes with a Keeper of the same Config, as the log's Machine.
+func NewState(c Config) (*State, error) {
+	empty, err := ring.New(c.Slots)
+	return &State{c: c, agreed: ring.Agreed{Table: empty}}, err
+}
+
+// Apply implements log.Machine.
+func (s *State) Apply(_ uint64, c owner.Command, o owner.Outcome) {
+	var w word
+	if c.Duty != Duty || c.Kind != owner.Do || !o.Accepted || json.Unmarshal([]byte(c.Body), &w) != nil {
+		return
+	}
+	if w.Freeze != nil {
+		s.c.follow(&s.agreed, *w.Freeze)
+	} else if w.Open != 0 {
+		s.agreed.Open(w.Open)
+	}
+}
+
+// Encode implements log.Machine.
+func (s *State) Encode() ([]byte, error) { return s.agreed.Encode() }
+
+// Decode implements log.Machine.
+func (s *State) Decode(b []byte) error { return s.agreed.Decode(b) }
