--- a/internal/fleet/log/driver.go
+++ b/internal/fleet/log/driver.go
@@ -45,8 +45,9 @@
 	ticks    = 32 // in a lease
 )
 
-// Drive starts a log and its driver. send takes a message to the member that is this process (Incoming there).
-func Drive(c Config, lease owner.Lease, life uint64, w Watcher, send func(process string, b []byte) error) (*Driver, error) {
+// Drive starts a log and its driver; ready, if not nil, is handed the driver before the first entry comes. send takes a message to the member that is this process (Incoming there).
+func Drive(c Config, lease owner.Lease, life uint64, w Watcher,
+	send func(process string, b []byte) error, ready func(*Driver)) (*Driver, error) {
 	table, err := owner.NewTable(c.Duties...)
 	if err != nil {
 		return nil, err
@@ -54,6 +55,9 @@
 	d := &Driver{watch: w, lease: lease, start: time.Now(), work: make(chan func(), queued), send: make(chan forward, forwards),
 		forward: send, stop: make(chan struct{})}
 	d.holder = owner.NewHolder(d, table, lease, c.Process, life)
+	if ready != nil {
+		ready(d)
+	}
 	if d.Log, err = Start(c, d); err != nil {
 		return nil, err
 	}
--- a/internal/fleet/log/log_test.go
+++ b/internal/fleet/log/log_test.go
@@ -97,7 +97,7 @@
 		os.Exit(1)
 	}
 	t.d, err = Drive(Config{Process: process, Bind: at, Advertise: front, Found: os.Getenv("PACK_FOUND") != "", Duties: []string{"ring", "roll"},
-		Beat: 300 * time.Millisecond}, lease, life, t, func(to string, b []byte) error { return m.Send(to[:strings.IndexByte(to, '#')], b) })
+		Beat: 300 * time.Millisecond}, lease, life, t, func(to string, b []byte) error { return m.Send(to[:strings.IndexByte(to, '#')], b) }, nil)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
