--- a/internal/aid/pack.go
+++ b/internal/aid/pack.go
@@ -32,6 +32,7 @@
 	more   chan struct{}
 	runs   map[string]*exec.Cmd
 	stdin  map[string]io.Closer
+	ended  map[string]chan struct{}
 	binds  map[string][]string
 	fronts map[string][]string
 	order  []string
@@ -40,11 +41,10 @@
 // NewPack prepares one of members with so many ports each; from notes on a line whose it is. It ends with the test.
 func NewPack[L any](t testing.TB, octet, ports int, from func(l *L, name string)) *Pack[L] {
 	p := &Pack[L]{Net: faultnet.New(1), t: t, octet: octet, ports: ports, from: from, more: make(chan struct{}, 1),
-		runs: map[string]*exec.Cmd{}, stdin: map[string]io.Closer{}, binds: map[string][]string{}, fronts: map[string][]string{}}
+		runs: map[string]*exec.Cmd{}, stdin: map[string]io.Closer{}, ended: map[string]chan struct{}{}, binds: map[string][]string{}, fronts: map[string][]string{}}
 	t.Cleanup(func() {
-		for _, r := range p.runs {
-			_ = r.Process.Kill()
-			_ = r.Wait()
+		for _, name := range p.Names() {
+			p.Kill(name)
 		}
 		p.Net.Close()
 	})
@@ -72,6 +72,8 @@
 // Start starts the test's binary as a member, cold; under a name it had before, at the same addresses. It is told by
 // its environment: PACK_NAME, PACK_BIND0, PACK_FRONT0 and so on, PACK_SEED (the first other member's first front), and more.
 func (p *Pack[L]) Start(name string, more ...string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.binds[name] == nil {
 		n := len(p.order) + 1
 		p.order = append(p.order, name)
@@ -101,8 +103,11 @@
 	if err := cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
-	p.runs[name], p.stdin[name] = cmd, stdin
+	ended := make(chan struct{})
+	p.runs[name], p.stdin[name], p.ended[name] = cmd, stdin, ended
 	go func() {
+		defer close(ended)
+		defer func() { _ = cmd.Wait() }()
 		for in := bufio.NewScanner(out); in.Scan(); {
 			var l L
 			if json.Unmarshal(in.Bytes(), &l) == nil {
@@ -120,16 +125,31 @@
 }
 
 // Signal sends a member a signal; Kill ends it outright.
-func (p *Pack[L]) Signal(name string, s syscall.Signal) { _ = p.runs[name].Process.Signal(s) }
+func (p *Pack[L]) Signal(name string, s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.runs[name].Process.Signal(s)
+}
 
 // Kill ends a member outright.
 func (p *Pack[L]) Kill(name string) {
-	_ = p.runs[name].Process.Kill()
-	_ = p.runs[name].Wait()
+	p.Signal(name, syscall.SIGKILL)
+	<-p.Ended(name)
+}
+
+// Ended is closed once the process that runs under this name now has ended.
+func (p *Pack[L]) Ended(name string) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended[name]
 }
 
 // Names are all members started so far, in their order.
-func (p *Pack[L]) Names() []string { return slices.Clone(p.order) }
+func (p *Pack[L]) Names() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.order)
+}
 
 // Told is how many lines there are.
 func (p *Pack[L]) Told() int {
--- a/internal/decide/owner/holder.go
+++ b/internal/decide/owner/holder.go
@@ -5,7 +5,10 @@
 
 import "time"
 
-const firstTurns = 16 // members that claim one by one within a lease
+const (
+	firstTurns = 16 // members that claim one by one within a lease
+	shy        = 8  // leases for which a member does not claim what it gave up
+)
 
 // Host is what a Holder acts through.
 type Host interface {
@@ -195,6 +198,18 @@
 	return h.seq, true
 }
 
+// GiveUp releases one duty, for another to take: this member claims it no more for some leases.
+func (h *Holder) GiveUp(now time.Duration, duty string) {
+	for n, name := range h.table.names {
+		if h.check(now, n); name == duty && h.own[n].held {
+			h.own[n].held = false
+			h.propose(now, n, Command{Kind: Release, Token: h.table.duties[n].Token})
+			h.own[n].nextTry = now + shy*h.lease.Length
+			h.host.Lost(name)
+		}
+	}
+}
+
 // Note puts a word of this member's own into the log, under no token.
 func (h *Holder) Note(duty, body string) (seq uint64) {
 	h.seq++
--- a/internal/decide/owner/owner_test.go
+++ b/internal/decide/owner/owner_test.go
@@ -217,6 +217,27 @@
 	}
 }
 
+func TestADutyGivenUpGoesToAnother(t *testing.T) {
+	s, _ := emu.NewOwnerSim(3, lease, rand.New(rand.NewPCG(3, 3)), "roll")
+	pass := func() *emu.OwnerMember {
+		for range 120 {
+			s.Advance(25 * time.Millisecond)
+			for s.Flight() > 0 {
+				s.Commit(0)
+			}
+			for _, m := range s.Members {
+				s.Hear(m, 9)
+			}
+		}
+		return s.Holding("roll")
+	}
+	first := pass()
+	s.GiveUp(first, "roll")
+	if next := pass(); next == nil || next == first {
+		t.Errorf("held by %v, then by %v", first, next)
+	}
+}
+
 func TestGuardRefusesTheOlder(t *testing.T) {
 	var g owner.Guard
 	for n, c := range []struct {
--- a/internal/decide/roll/roll_test.go
+++ b/internal/decide/roll/roll_test.go
@@ -210,6 +210,22 @@
 	}
 }
 
+func TestASnapshotKnowsWhoWasTold(t *testing.T) {
+	r := roll.New("new")
+	r.Drained(0, "m0", 1)
+	b, err := r.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	back := roll.New("")
+	if err := back.Decode(time.Second, b); err != nil || back.Want != "new" || back.Drained(2*time.Second, "m0", 1) || !back.Drained(0, "m0", 2) {
+		t.Errorf("%v: %+v", err, back)
+	}
+	if back.Decode(0, []byte("no")) == nil || back.Want != "new" {
+		t.Error("what is none of ours was taken")
+	}
+}
+
 func TestEmulatedRollThroughFaults(t *testing.T) {
 	for seed := uint64(1); seed <= 3; seed++ {
 		f, err := emu.Roll(24, 3, seed, true)
--- a/internal/decide/roll/step.go
+++ b/internal/decide/roll/step.go
@@ -3,6 +3,8 @@
 package roll
 
 import (
+	"cmp"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"time"
@@ -122,3 +124,45 @@
 	}
 	return fmt.Sprintf("%s waits: another voter is away, a move waits for it, or it owns the roll", i.Name)
 }
+
+type encoded struct {
+	Want    string
+	Drained []told
+	Tries   map[string]int
+}
+
+type told struct {
+	Name string
+	Life uint64
+	At   time.Duration
+}
+
+// Encode is the roll for a snapshot.
+func (r *Roll) Encode() ([]byte, error) {
+	e := encoded{Want: r.Want, Tries: r.tries}
+	for p, at := range r.drained {
+		e.Drained = append(e.Drained, told{p.name, p.life, at})
+	}
+	slices.SortFunc(e.Drained, func(x, y told) int { return cmp.Or(cmp.Compare(x.Name, y.Name), cmp.Compare(x.Life, y.Life)) })
+	return json.Marshal(e)
+}
+
+// Decode takes a snapshot; whoever was told to drain is taken to have been told now. Errors: not one of ours; then
+// nothing changed.
+func (r *Roll) Decode(now time.Duration, b []byte) error {
+	var e encoded
+	if err := json.Unmarshal(b, &e); err != nil {
+		return fmt.Errorf("roll: found no JSON object (%w)", err)
+	}
+	if len(e.Drained) > MostInstances {
+		return fmt.Errorf("roll: found %d drained, expected at most %d", len(e.Drained), MostInstances)
+	}
+	*r = *New(e.Want)
+	for _, d := range e.Drained {
+		r.drained[process{d.Name, d.Life}] = now
+	}
+	for name, n := range e.Tries {
+		r.tries[name] = n
+	}
+	return nil
+}
--- a/internal/fleet/log/driver.go
+++ b/internal/fleet/log/driver.go
@@ -169,6 +169,9 @@
 // Note puts a word of this member's own into the log; it comes back as an entry with this Seq, or never.
 func (d *Driver) Note(duty, body string) (seq uint64) { return d.holder.Note(duty, body) }
 
+// GiveUp is for the Watcher: another member is to take the duty.
+func (d *Driver) GiveUp(duty string) { d.holder.GiveUp(d.now(), duty) }
+
 // Now is the driver's clock.
 func (d *Driver) Now() time.Duration { return d.now() }
 
--- a/internal/fleet/log/log.go
+++ b/internal/fleet/log/log.go
@@ -242,5 +242,19 @@
 	return d.Dial("tcp", string(address))
 }
 
+// Voters are the processes that vote, as this one has it.
+func (l *Log) Voters() (out []string) {
+	f := l.raft.GetConfiguration()
+	if f.Error() != nil {
+		return nil
+	}
+	for _, s := range f.Configuration().Servers {
+		if s.Suffrage == raft.Voter {
+			out = append(out, string(s.ID))
+		}
+	}
+	return out
+}
+
 // Term is raft's, for who watches elections.
 func (l *Log) Term() uint64 { return l.raft.CurrentTerm() }
--- a/internal/fleet/member/record.go
+++ b/internal/fleet/member/record.go
@@ -26,6 +26,7 @@
 	Process  string  `json:"process,omitempty"` // its identity in the agreed log, of this life alone; up to 96 bytes
 	Log      string  `json:"log,omitempty"`     // host:port at which the log reaches it
 	Applied  uint64  `json:"applied,omitempty"` // the log's last entry that it has applied, lately
+	Release  string  `json:"release,omitempty"` // that it runs; up to 64 bytes
 }
 
 // check says what is wrong with a record heard from name, in one line.
@@ -37,6 +38,8 @@
 		return fmt.Errorf("record of %q: name found %q, expected its own", name, r.Name)
 	case len(r.Process) > 96 || len(r.Log) > 64:
 		return fmt.Errorf("record of %q: process and log found %d and %d bytes, expected at most 96 and 64", name, len(r.Process), len(r.Log))
+	case len(r.Release) > 64:
+		return fmt.Errorf("record of %q: release found %d bytes, expected at most 64", name, len(r.Release))
 	case len(r.Zone) > 64:
 		return fmt.Errorf("record of %q: zone found %d bytes, expected at most 64", name, len(r.Zone))
 	case r.Capacity < 0 || r.LagMS < 0 || r.Share < 0 || r.Share > 1 || r.Rank < -1:
--- a/internal/lab/emu/owner.go
+++ b/internal/lab/emu/owner.go
@@ -324,6 +324,9 @@
 	}
 }
 
+// GiveUp lets a member give one duty to another.
+func (s *OwnerSim) GiveUp(m *OwnerMember, duty string) { m.Holder.GiveUp(m.clock(), duty) }
+
 // Restrict starts all members anew under another lease, their clocks as they are.
 func (s *OwnerSim) Restrict(l owner.Lease) {
 	s.Lease = l
