--- a/policy/instance.go
+++ b/policy/instance.go
@@ -98,7 +98,7 @@
 	done, waited                  int        // waited (Ticks that found work waiting for a start)
 	lag, limit, shed, said        float64    // limit: the threshold of lag
 	open, intake, ticks           float64    // idle time, as a part; a period's sum of intake in hand
-	idleCores, full               float64    // a period's sum of idle cores, as parts, over the Ticks that found no room
+	idleCores, full               float64    // a period's sum of idle cores, as parts; Ticks that found no room
 	flag, jammed, unfit, stops    bool       // stops: a run can be taken off the cores
 	nextTrial, nextSample, wanted time.Duration
 	metered, grace, stopAt, idle  time.Duration
--- a/policy/lag.go
+++ b/policy/lag.go
@@ -62,7 +62,7 @@
 	if i.callUse = min(i.callUse+callsUp, 1); i.slowBelow() {
 		i.callUse = max(i.callUse*callsDown, leastCalls)
 	}
-	// Runs that wait for a disk leave cores idle, and make room for more: seen while all that may run do and work waits.
+	// Runs at a disk leave cores idle, which makes room for more: seen while all that may run do and work waits.
 	if idle := i.idleCores / max(i.full, 1); i.full > 0 && idle > 1-busyRoom && i.done > 0 {
 		i.width = min(i.width+1, float64(i.ceiling(now)))
 	} else if i.full > 0 && idle < 1-busyFull {
