A voter's dead life counts as a voter away: no second voter is drained before the log has dropped it

Seen: the roll's test beside a second suite on four cores; a voter came back under a new life that did not vote, its dead one still did, and the next voter was told to drain: the log lost its quorum, and the last instance never rolled. roll counts them; test beside it.

--- a/internal/decide/roll/roll_test.go
+++ b/internal/decide/roll/roll_test.go
@@ -185,6 +185,17 @@
 	}
 }
 
+// Seen on processes under load: a voter back under a new life no longer voted, its dead one still did, and the next
+// voter was drained: two of three gone from the log.
+func TestADeadLifeThatStillVotesIsAVoterAway(t *testing.T) {
+	f := fleet(12, 3, alike)
+	f[0].Voter, f[1].Voter = true, true
+	f = append(f, roll.Instance{Name: "m9#1", Silent: true, Voter: true})
+	if s := roll.New("new").Next(0, f, nil, bounds); len(s.Drain) == 0 || slices.ContainsFunc(s.Drain, func(i roll.Instance) bool { return i.Voter }) {
+		t.Errorf("%+v", s)
+	}
+}
+
 func TestTheWayBackAndWhoIsStuck(t *testing.T) {
 	f := fleet(12, 3, alike)
 	r := roll.New("new")
--- a/internal/fleet/rolls/rolls.go
+++ b/internal/fleet/rolls/rolls.go
@@ -33,7 +33,10 @@
 	Life   uint64
 	Bounds roll.Bounds
 	// Fleet is the fleet as this member has it now, and each zone's load.
-	Fleet  func() ([]roll.Instance, map[string]float64)
+	Fleet func() ([]roll.Instance, map[string]float64)
+	// Absent are the processes that vote in the log and are not heard of, dead lives of names that are back among them:
+	// until the log has dropped one, it is a voter away, and no second one may go.
+	Absent func() []string
 	Decide func(body string) bool // under the duty
 	HandOn func()                 // give the duty up
 	Drain  func()                 // this process is to drain: once
@@ -112,6 +115,9 @@
 		return
 	}
 	fleet, load := k.c.Fleet()
+	for _, process := range k.c.Absent() {
+		fleet = append(fleet, roll.Instance{Name: process, Silent: true, Voter: true})
+	}
 	if want != "" && k.planned != want { // refused before anybody is drained, or not at all
 		waves, bound, err := roll.Plan(fleet, load, want, k.c.Bounds)
 		if err != nil {
--- a/internal/fleet/rolls/rolls_test.go
+++ b/internal/fleet/rolls/rolls_test.go
@@ -118,6 +118,18 @@
 			slices.SortFunc(out, func(x, y roll.Instance) int { return strings.Compare(x.Name, y.Name) })
 			return out, nil
 		},
+		Absent: func() (out []string) {
+			heard := map[string]bool{}
+			for _, r := range m.View() {
+				heard[r.Process] = true
+			}
+			for _, process := range h.driver.Load().Log.Voters() {
+				if !heard[process] {
+					out = append(out, process)
+				}
+			}
+			return out
+		},
 		Decide: func(body string) bool { return h.driver.Load().DecideNow(Duty, body) },
 		HandOn: func() { h.driver.Load().GiveUp(Duty) },
 		Drain:  func() { close(leaving) },
@@ -133,7 +145,7 @@
 			out = append(out, log.Peer{Process: r.Process, Address: r.Log, Zone: r.Zone, Applied: r.Applied, Leaving: r.Flag == "leaving"})
 		}
 		return out
-	}, votes, func(c voters.Change) {})
+	}, votes, func(c voters.Change) { h.tell(line{What: "said", Text: fmt.Sprint("care ", c.Kind, " ", c.Why, " ", c.Process)}) })
 	go func() {
 		applied := uint64(0)
 		for {
