A leader that has just started drops no voter for not knowing the fleet for long

The wanted number of voters counted members by their age as the leader had seen it; a process elected within its first 300 ms took five members for a small fleet and would have dropped good voters.

--- a/internal/decide/voters/voters.go
+++ b/internal/decide/voters/voters.go
@@ -101,7 +101,7 @@
 	size := 0
 	for _, m := range members {
 		c.members[m.Process] = m
-		if !m.Leaving && (m.Age >= b.Settle || slices.Contains(voters, m.Process)) {
+		if !m.Leaving && !m.Ended { // of any age: a leader that has just started knows nobody for long
 			size++
 		}
 		if m.SilentFor == 0 && !m.Leaving && !m.Ended && (m.Age >= b.Settle || slices.Contains(voters, m.Process)) {
--- a/internal/decide/voters/voters_test.go
+++ b/internal/decide/voters/voters_test.go
@@ -168,6 +168,21 @@
 	}
 }
 
+func TestALeaderThatHasJustStartedDropsNobody(t *testing.T) {
+	p := &play{voters: []string{"p0", "p1", "p2", "p3", "p4"}}
+	for n := range 8 { // two voters are silent to it yet, and it has known all for a moment only
+		p.members = append(p.members, Member{Process: fmt.Sprint("p", n), Zone: "z", CaughtUp: true})
+	}
+	p.members[3].SilentFor, p.members[4].SilentFor = time.Second, time.Second
+	if c := Next(p.members, p.voters, nil, false, bounds); c.Kind != None {
+		t.Errorf("%+v", c)
+	}
+	p.members = p.members[:5] // and these are all
+	if c := Next(p.members, p.voters, nil, false, bounds); c.Kind != None {
+		t.Errorf("%+v", c)
+	}
+}
+
 func TestALostQuorumIsSaidAndNothingDecided(t *testing.T) {
 	p := &play{voters: []string{"p0", "p1", "p2"}}
 	for n := range 6 {
--- a/internal/fleet/rolls/rolls_test.go
+++ b/internal/fleet/rolls/rolls_test.go
@@ -145,7 +145,9 @@
 			out = append(out, log.Peer{Process: r.Process, Address: r.Log, Zone: r.Zone, Applied: r.Applied, Leaving: r.Flag == "leaving"})
 		}
 		return out
-	}, votes, func(c voters.Change) { h.tell(line{What: "said", Text: fmt.Sprint("care ", c.Kind, " ", c.Why, " ", c.Process)}) })
+	}, votes, func(c voters.Change) {
+		h.tell(line{What: "said", Text: fmt.Sprint("care ", c.Kind, " ", c.Why, " ", c.Process)})
+	})
 	go func() {
 		applied := uint64(0)
 		for {
