--- a/test.sh
+++ b/test.sh
@@ -9,4 +9,4 @@
 export CGO_ENABLED=1
 go build -ldflags=-linkmode=external -o bin/ ./cmd/... # as deploy/balancer.toml builds
 ldd bin/thymechute | grep -q 'libc\.' || { echo "bin/thymechute: not linked against the C library" >&2; exit 1; }
-go test -count=1 -timeout 120s ./...
+go test -count=1 -timeout 120s -p 3 ./... # several packages start processes whose leases are real time
