--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/member_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/hashicorp/memberlist"
+
+	"thymechute/internal/aid"
 )
 
 // The test binary is also the member process: with MEMBER_CHILD set it runs one member on loopback and prints its
@@ -144,23 +146,7 @@
 
 // freeAddress is a port free for TCP and UDP on the n-th member's own loopback IP, 127.0.5.n: its sockets and its
 // dials (from its bind address) never take a port of 127.0.0.1 that another test picked and is about to bind.
-func freeAddress(t *testing.T, n int) string {
-	for range 20 {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.5.%d:0", n))
-		if err != nil {
-			t.Fatal(err)
-		}
-		address := l.Addr().String()
-		u, err := net.ListenPacket("udp", address)
-		l.Close()
-		if err == nil {
-			u.Close()
-			return address
-		}
-	}
-	t.Fatal("no free port for both TCP and UDP")
-	return ""
-}
+func freeAddress(t *testing.T, n int) string { return aid.FreePort(t, fmt.Sprintf("127.0.5.%d", n)) }
 
 func (f *fleet) start(name, bind string, lie bool, seeds ...string) {
 	cmd := exec.Command(os.Args[0], "-test.run=^$")
