--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -9,7 +9,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"runtime/debug"
@@ -95,15 +94,6 @@
 	unsent  int // bytes that all together may leave unread
 }
 
-type conn struct {
-	l       *Loop
-	g       gnet.Conn
-	peer    Peer
-	out     []byte // emptied each round
-	dirty   bool
-	closing bool
-}
-
 // Run serves on the address, within the memory, until the host has ended. first is called once on the loop before
 // anything else.
 func Run(address string, host Host, memory int64, log *zap.Logger, first func(*Loop)) error {
@@ -139,40 +129,6 @@
 	return l.client.Stop()
 }
 
-// find gets hold of gnet's loop, which gnet names only through a connection on it. This datagram socket sends
-// nothing and goes at once.
-func (l *Loop) find() error {
-	c, err := net.Dial("udp", l.listen.Addr().String())
-	if err != nil {
-		return err
-	}
-	g, err := l.client.Enroll(c)
-	if err != nil {
-		return err
-	}
-	l.el = g.EventLoop()
-	return g.Close()
-}
-
-// accept brings the callers' connections into the loop, until the listener is closed.
-func (l *Loop) accept() {
-	for {
-		c, err := l.listen.Accept()
-		if err == nil {
-			_, err = l.client.EnrollContext(c, accepted{})
-		}
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			l.log.Warn("not accepted", zap.Error(err))
-			time.Sleep(acceptGap)
-		}
-	}
-}
-
-type accepted struct{}
-
 // Do runs f on the loop, and a round after it. It may be called from any goroutine.
 func (l *Loop) Do(f func()) {
 	_ = l.el.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
@@ -184,71 +140,6 @@
 	}))
 }
 
-// Dial opens a connection for the peer; Opened or Closed follows on the loop.
-func (l *Loop) Dial(network, address string, patience time.Duration, p Peer) {
-	go func() {
-		c, err := net.DialTimeout(network, address, patience)
-		if err == nil {
-			_, err = l.client.EnrollContext(c, p)
-		}
-		if err != nil {
-			l.Do(func() { p.Closed(&Broken{false, err}) })
-		}
-	}()
-}
-
-// OnOpen greets a connection of either kind.
-func (l *Loop) OnOpen(g gnet.Conn) (out []byte, action gnet.Action) {
-	var p Peer
-	switch of := g.Context().(type) {
-	case Peer:
-		p = of
-	case accepted:
-		if p = l.host.Accept(); p == nil {
-			return nil, gnet.Close
-		}
-	default:
-		return nil, gnet.None // the socket of find
-	}
-	c := &conn{l: l, g: g, peer: p}
-	g.SetContext(c)
-	Guard(l.log, "open", func() { p.Opened(c) })
-	l.mark()
-	return nil, gnet.None
-}
-
-// OnTraffic hands over what came.
-func (l *Loop) OnTraffic(g gnet.Conn) gnet.Action {
-	c, ok := g.Context().(*conn)
-	data, _ := g.Next(-1)
-	if !ok || c.closing {
-		return gnet.None
-	}
-	l.read = true
-	l.mark()
-	err := errors.New("peer failed")
-	Guard(l.log, "read", func() { err = c.peer.Read(data) })
-	if err == nil {
-		return gnet.None
-	}
-	l.log.Warn("connection closed", zap.Error(err), zap.Stringer("peer", g.RemoteAddr()))
-	c.flush()
-	return gnet.Close
-}
-
-// OnClose tells the peer.
-func (l *Loop) OnClose(g gnet.Conn, err error) gnet.Action {
-	if c, ok := g.Context().(*conn); ok && l.phase != Ended {
-		if delete(l.stuck, c); err == nil {
-			err = net.ErrClosed
-		}
-		c.closing = true
-		Guard(l.log, "close", func() { c.peer.Closed(&Broken{true, err}) })
-		l.mark()
-	}
-	return gnet.None
-}
-
 // Guard keeps a panic from going further than the connection, task or event that it came from.
 func Guard(log *zap.Logger, what string, f func()) {
 	defer func() {
@@ -333,42 +224,3 @@
 		_ = l.el.Close(worst.g)
 	}
 }
-
-// Write puts bytes down for the end of the round.
-func (c *conn) Write(p []byte) {
-	c.out = append(c.out, p...)
-	c.touch()
-}
-
-// Close ends the connection at the end of the round.
-func (c *conn) Close() {
-	c.closing = true
-	c.touch()
-}
-
-func (c *conn) touch() {
-	if !c.dirty {
-		c.dirty = true
-		c.l.dirty = append(c.l.dirty, c)
-		c.l.mark()
-	}
-}
-
-func (c *conn) flush() {
-	c.dirty = false
-	if c.g.Context() == c && len(c.out) > 0 {
-		_, _ = c.g.Write(c.out) // closes the connection itself if it fails
-	}
-	if c.out = c.out[:0]; cap(c.out) > keptBuffer {
-		c.out = nil
-	}
-	if c.g.Context() != c {
-		return // closed meanwhile
-	}
-	if c.g.OutboundBuffered() > 0 {
-		c.l.stuck[c] = struct{}{}
-	}
-	if c.closing {
-		_ = c.l.el.Close(c.g)
-	}
-}
--- /dev/null
+++ b/internal/rpc/front.go
@@ -0,0 +1,106 @@
+// Package rpc is the client stubs' protocol, JSON-RPC 2.0 with one message a line: it turns lines into work items
+// and health checks for the door, and answers back into lines. A Front owns the stubs' connections, their open ids
+// (mostOpen each, emptied by the answer) and their age. It must never decide on a work item, answer a request
+// twice, or let anything that a peer sends reach further than that peer's connection.
+package rpc
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"thymechute/internal/jsonline"
+	"thymechute/internal/loop"
+	"thymechute/internal/node"
+)
+
+const (
+	longestLine = 8 << 10
+	longestID   = 40
+	longestWord = 128
+	mostBody    = 2 << 10
+	mostOpen    = 32
+	mostKB      = 2000
+	mostNames   = 64                      // in one message; more are not told apart
+	oldest      = 30 * time.Second        // a request can't have come longer ago, nor so far ahead:
+	ahead       = 5 * time.Second         // such a time would be taken for a wait of that length
+	mostFaults  = 8                       // that a connection may bring
+	unasked     = 1500 * time.Millisecond // a connection may stay without a whole request, or with part of one
+	sweepEvery  = 100 * time.Millisecond
+	silent      = time.Minute // a connection with nothing open is closed after this in any case
+)
+
+// Door is where work items go.
+type Door interface {
+	Arrive(asker node.Asker, tag string, ask node.Ask) error
+	Gone(asker node.Asker)
+	Check(asker node.Asker, tag string, full bool)
+}
+
+// Front owns the stubs' connections.
+type Front struct {
+	door    Door
+	log     *zap.Logger
+	most    int
+	conns   map[*conn]struct{}
+	idle    time.Duration
+	leaving bool
+	next    time.Time
+	refused int // connections over the limit since the last line of the log
+}
+
+// NewFront takes at most so many connections.
+func NewFront(door Door, most int, log *zap.Logger) *Front {
+	return &Front{door: door, most: most, log: log, conns: map[*conn]struct{}{}, idle: silent}
+}
+
+// Accept makes the peer of a new connection. At the limit the one goes that is needed least: the longest without a
+// whole request, else the longest idle. Where all are in use the new one goes.
+func (f *Front) Accept() loop.Peer {
+	if len(f.conns) >= f.most {
+		f.refused++
+		var least *conn
+		for c := range f.conns {
+			if len(c.open) == 0 && (least == nil || c.asked == least.asked && c.last.Before(least.last) || !c.asked && least.asked) {
+				least = c
+			}
+		}
+		if least == nil {
+			return nil
+		}
+		least.end()
+	}
+	return &conn{front: f, in: jsonline.Lines{Longest: longestLine}, open: map[string]struct{}{}}
+}
+
+// Idle closes connections with nothing open after so long.
+func (f *Front) Idle(after time.Duration) { f.idle = min(max(after, 10*time.Millisecond), silent) }
+
+// Leave tells all stubs to send no more here.
+func (f *Front) Leave() {
+	f.leaving = true
+	for c := range f.conns {
+		c.wire.Write(closing)
+	}
+}
+
+// Owes: what is written leaves with the round.
+func (f *Front) Owes() bool { return false }
+
+// Sweep closes what is idle.
+func (f *Front) Sweep(now time.Time) {
+	if now.Before(f.next) {
+		return
+	}
+	f.next = now.Add(sweepEvery)
+	for c := range f.conns {
+		part := !c.began.IsZero() && now.Sub(c.began) > unasked
+		if part || len(c.open) == 0 && (now.Sub(c.last) > f.idle || !c.asked && now.Sub(c.last) > unasked) {
+			c.end()
+		}
+	}
+	if f.refused > 0 {
+		f.log.Warn("connections refused: at the limit", zap.Int("refused", f.refused), zap.Int("limit", f.most))
+		f.refused = 0
+	}
+}
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -75,7 +75,7 @@
 	if busy.Closed || !idle.Closed {
 		t.Errorf("busy closed %v, idle closed %v", busy.Closed, idle.Closed)
 	}
-	one.(*line).Answer("7", node.Answer{})
+	one.(*conn).Answer("7", node.Answer{})
 	f.Sweep(time.Now().Add(4 * time.Second))
 	if !busy.Closed {
 		t.Error("an answered connection stays open")
