One life for a connection: what is open gets its answer, then half-closed, then closed

Ruled out: the class and tenant names, the drain (most losses are on instances that do not drain).

A message without an id is a notification (JSON-RPC 2.0, section 4.1): not answered; one of a class or a check is still a fault. A fault, half a message, the idle end and eviction now end a connection by one path in internal/loop/conn.go: nothing more is read, what is open is answered, the write side is shut once all is written, what comes is dropped, and it closes when the other side ends, or after 1 s. Idle connections are told closing 250 ms before. The listener's end takes what the system has accepted. The instance's end waits for all of it, up to the kill; what is left then is refused or failed, and logged. A drain before the runtime is up answers too; a file that is slow to read at SIGHUP no longer keeps SIGTERM from being heard. A port for tests lies apart from the address that all dial from.

--- a/cmd/thymechute/main_test.go
+++ b/cmd/thymechute/main_test.go
@@ -310,7 +310,10 @@
 	s.Wants(2, 0, result)
 	s.Ask(4, "trace", "aa04", body, "")
 	w.Runtime.Command("start")
-	s.Ask(4, "trace", "aa05", body, "") // its id is open: this connection ends, and no other
+	s.Ask(4, "trace", "aa05", body, "") // its id is open: this connection ends behind the answer to the first, and no other
+	s.Ask(5, "trace", "aa05", body, "") // comes after the end: not read
+	w.Runtime.End(2, "aa04", "good", result)
+	s.Wants(4, 0, result)
 	if _, closed := s.Read(); !closed {
 		t.Error("the connection stays open after two requests under one id")
 	}
@@ -319,7 +322,7 @@
 	if _, closed := s.Read(); !closed {
 		t.Error("the connection stays open after an endless line")
 	}
-	w.Runtime.End(2, "cc01", "good", "\x00")
+	w.Runtime.End(3, "cc01", "good", "\x00")
 	other.Wants(1, 0, "\x00")
 	other.Ask(2, "trace", "aa06", body, `,"unheard":{"of":[1,"\u00e9"]}`)
 	w.Runtime.Until("start", "aa06")
--- a/cmd/thymechute/serve.go
+++ b/cmd/thymechute/serve.go
@@ -27,8 +27,8 @@
 )
 
 const (
-	own        = 32  // descriptors for the links, Go's own and those on their way; of the rest
-	callPart   = 8   // an eighth goes to calls, three quarters to the stubs
+	own        = 32  // descriptors for the links, Go's own and those on their way; of the rest, in eighths:
+	stubParts  = 5   // the stubs'; one more each for stubs over that, for connections that end, and for calls
 	memoryPart = 0.7 // of the memory limit, for Go; the rest is the kernel's and the code's
 	moreHeap   = 100 // percent of growth between two collections, under that limit
 	dialFor    = time.Second
@@ -69,14 +69,15 @@
 	}
 	defer fl.leave(log)
 	inst := node.New(g.Site, g.Seed, g.Stop, g.Memory, log)
-	front := rpc.NewFront(inst, (sockets-own)*3/4, log)
-	return loop.Run(g.Listen, host{front, inst}, g.Memory, log, func(l *loop.Loop) {
+	part := (sockets - own) / 8
+	front := rpc.NewFront(inst, stubParts*part, part, log)
+	return loop.Run(g.Listen, host{front, inst}, g.Memory, part, log, func(l *loop.Loop) {
 		dial := func(network string, address *string) func(loop.Peer) { // the address may change
 			return func(p loop.Peer) { l.Dial(network, *address, dialFor, p) }
 		}
 		after := func(wait time.Duration, f func()) { time.AfterFunc(wait, func() { l.Do(f) }) }
 		cores := link.NewLink(inst, dial("tcp", &g.Runtime), after, g.Seed, log)
-		calls := index.NewPool(inst, dial("tcp", &g.Index), (sockets-own)/callPart, log)
+		calls := index.NewPool(inst, dial("tcp", &g.Index), part, log)
 		reports := catalog.New(g.Name, dial("udp", &g.Catalog))
 		fronts := []node.Front{front}
 		if o.AMQP != nil {
@@ -84,41 +85,55 @@
 		}
 		inst.Connect(cores, calls, reports, fronts...)
 		cores.Open()
+		reload := func(later config.Given) {
+			site, err := g.Site.Over(later.Site)
+			if err != nil {
+				log.Error("configuration not taken, the old one stays", zap.Error(err))
+				return
+			}
+			changed := !reflect.DeepEqual(site, g.Site)
+			log.Info("configuration read again", zap.Bool("settings", changed), zap.String("runtime", later.Runtime),
+				zap.String("index", later.Index), zap.String("directory", later.Catalog),
+				zap.Strings("not changed while running", g.Fixed(later)))
+			if changed {
+				g.Site = site
+				inst.Retell(site)
+			}
+			move(&g.Runtime, later.Runtime, cores.Open)
+			move(&g.Index, later.Index, calls.Move)
+			move(&g.Catalog, later.Catalog, reports.Move)
+		}
+		hups := make(chan os.Signal, 1) // one that comes while the file is read is answered by reading it once more
+		go reloads(hups, l, reload, log)
 		go func() {
 			for s := range signals {
-				if s != syscall.SIGHUP {
-					l.Do(inst.Leave)
-					go fl.leave(log) // off the loop: it waits up to a second for the others to hear
-					continue
-				}
-				later, err := config.Load(os.Getenv)
-				if err != nil {
-					log.Error("configuration not taken, the old one stays", zap.Error(err))
+				if s == syscall.SIGHUP {
+					select {
+					case hups <- s:
+					default:
+					}
 					continue
 				}
-				l.Do(func() {
-					site, err := g.Site.Over(later.Site)
-					if err != nil {
-						log.Error("configuration not taken, the old one stays", zap.Error(err))
-						return
-					}
-					changed := !reflect.DeepEqual(site, g.Site)
-					log.Info("configuration read again", zap.Bool("settings", changed), zap.String("runtime", later.Runtime),
-						zap.String("index", later.Index), zap.String("directory", later.Catalog),
-						zap.Strings("not changed while running", g.Fixed(later)))
-					if changed {
-						g.Site = site
-						inst.Retell(site)
-					}
-					move(&g.Runtime, later.Runtime, cores.Open)
-					move(&g.Index, later.Index, calls.Move)
-					move(&g.Catalog, later.Catalog, reports.Move)
-				})
+				l.Do(inst.Drain)
+				go fl.leave(log) // off the loop: it waits up to a second for the others to hear
 			}
 		}()
 	})
 }
 
+// reloads reads the file again at each signal. It has a goroutine of its own: a file that is slow to read must not
+// keep a notice to drain from being heard.
+func reloads(hups <-chan os.Signal, l *loop.Loop, reload func(config.Given), log *zap.Logger) {
+	for range hups {
+		later, err := config.Load(os.Getenv)
+		if err != nil {
+			log.Error("configuration not taken, the old one stays", zap.Error(err))
+			continue
+		}
+		l.Do(func() { reload(later) })
+	}
+}
+
 // move goes to another address.
 func move(address *string, later string, moved func()) {
 	if *address != later {
--- a/internal/aid/aid.go
+++ b/internal/aid/aid.go
@@ -168,10 +168,11 @@
 	return s
 }
 
-// FreeAddress is one that nothing listens on.
+// FreeAddress is one that nothing listens on. It lies apart from 127.0.0.1, from which all dial: the port of a connection on
+// its way would else take it before the program does.
 func FreeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", fmt.Sprintf("127.1.%d.%d:0", os.Getpid()>>8&255, os.Getpid()&255))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/front/amqp/front.go
+++ b/internal/front/amqp/front.go
@@ -95,8 +95,8 @@
 // Idle is for callers' connections; a broker's stays.
 func (f *Front) Idle(time.Duration) {}
 
-// Leave ends consuming at once; what is read is settled, then the connection closed.
-func (f *Front) Leave() {
+// Drain ends consuming at once; what is read is settled, then the connection closed.
+func (f *Front) Drain() {
 	f.leaving = true
 	f.in.Leave(f.time())
 	if f.now != nil && !f.stands { // it has brought nothing yet
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -2,22 +2,20 @@
 // hands bytes to the peer of their connection, gathers what is ready, then calls the host's Round once for all of
 // it, and writes out what the peers have put down by then. Connections are accepted and dialled on goroutines of
 // their own and join the loop when they stand. It must never block, decide, or know what the bytes mean; an
-// error or a panic in a peer ends that peer's connection and nothing else. Its tables: dirty (emptied each round)
-// and stuck (bounded by mostUnsent each and an eighth of the memory in all; emptied as the peers read).
+// error or a panic in a peer ends that peer's connection and nothing else. Its tables: dirty (emptied each round),
+// stuck (bounded by mostUnsent each and an eighth of the memory in all; emptied as the peers read), callers (what we
+// accepted; bounded by the host's Accept and by ending) and ending (bounded by what Run is given, emptied by time).
 package loop
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"net"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
 	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -26,13 +24,12 @@
 	lateWake    = 50 * time.Millisecond // a wake so late tells of a standstill
 	mostGathers = 64                    // rounds put off after a standstill while still more comes in
 	readBuffer  = 64 << 10              // what one connection may bring at a time
-	acceptGap   = 5 * time.Millisecond  // after a failed accept
 )
 
 // Wire is a connection as its peer sees it. All calls are made on the loop.
 type Wire interface {
 	Write(p []byte) // copied, and sent at the end of the round
-	Close()         // at the end of the round, after what was written
+	Close()         // no more is read; the connection ends after what is written and owed, as conn.go says
 }
 
 // Peer is what sits on a connection. All calls are made on the loop.
@@ -42,19 +39,26 @@
 	Closed(err error)    // the last call; without Opened before it no connection came to be
 }
 
+// Caller is what sits on a connection that we accepted.
+type Caller interface {
+	Peer
+	Owes() bool // an answer is still to be written
+}
+
 // Phase is how far a host is with its life.
 type Phase int
 
 // The phases.
 const (
-	Serving Phase = iota
-	Closing       // no further connection is accepted
-	Ended
+	Serving   Phase = iota
+	Unlisting       // what is accepted by now is still taken, nothing after it
+	Ending          // the host owes nothing: once the sockets owe nothing either, Run returns
+	Ended           // Run returns, whatever is owed
 )
 
 // Host is told of the rounds.
 type Host interface {
-	Accept() Peer              // nil: no room
+	Accept() Caller            // nil: no room
 	Round() (time.Time, Phase) // all that was ready has been read; when to come again at the latest
 }
 
@@ -79,10 +83,14 @@
 	host   Host
 	log    *zap.Logger
 	client *gnet.Client // gnet's engine without a listener of its own: see docs/design.md
-	listen net.Listener
 	el     gnet.EventLoop
 	ended  chan struct{}
 
+	listener  *net.TCPListener
+	unlisting bool // its end has begun
+	listening bool // it has not ended
+	joined    bool // a connection, since the last round that asked
+
 	queued  bool // a round is
 	read    bool // something came since the last round
 	gathers int
@@ -92,22 +100,21 @@
 	dirty   []*conn // have output or are to be closed
 	stuck   map[*conn]struct{}
 	unsent  int // bytes that all together may leave unread
+
+	callers    map[*conn]struct{}
+	ending     map[*conn]struct{} // of them, those on which nothing is owed any more
+	mostEnding int
 }
 
-// Run serves on the address, within the memory, until the host has ended. first is called once on the loop before
-// anything else.
-func Run(address string, host Host, memory int64, log *zap.Logger, first func(*Loop)) error {
-	// Who supervises the instance may keep its address bound between two lives, so it has to be shared.
-	shared := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
-		failed := c.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) })
-		return cmp.Or(err, failed)
-	}}
-	listen, err := shared.Listen(context.Background(), "tcp", address)
+// Run serves on the address, within the memory, until the host has ended; mostEnding is how many connections may be on
+// their way to the end at a time. first is called once on the loop before anything else.
+func Run(address string, host Host, memory int64, mostEnding int, log *zap.Logger, first func(*Loop)) error {
+	listener, err := listen(address)
 	if err != nil {
 		return err
 	}
-	l := &Loop{host: host, log: log, listen: listen, ended: make(chan struct{}), stuck: map[*conn]struct{}{},
-		unsent: int(memory / 8)}
+	l := &Loop{host: host, log: log, listener: listener, listening: true, ended: make(chan struct{}), stuck: map[*conn]struct{}{},
+		unsent: int(memory / 8), callers: map[*conn]struct{}{}, ending: map[*conn]struct{}{}, mostEnding: mostEnding}
 	l.client, err = gnet.NewClient(l, gnet.WithNumEventLoop(1), gnet.WithReadBufferCap(readBuffer),
 		gnet.WithLogger(log.Sugar()), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
 	if err == nil {
@@ -117,7 +124,7 @@
 		err = l.find()
 	}
 	if err != nil {
-		listen.Close()
+		listener.Close()
 		return err
 	}
 	l.Do(func() {
@@ -172,25 +179,53 @@
 	}
 	phase := l.phase
 	Guard(l.log, "round", func() { l.wake, phase = l.host.Round() })
-	for n := 0; n < len(l.dirty); n++ { // flushing may close, and closing may write elsewhere
-		l.dirty[n].flush()
+	if l.flush(); phase >= Unlisting {
+		l.endListening()
 	}
-	l.dirty = l.dirty[:0]
-	if len(l.stuck) > 0 {
-		l.unstick()
+	if phase >= Ending && l.settled() {
+		for c := range l.callers {
+			c.Close()
+		}
+		l.flush()
 	}
-	if phase > Serving && l.phase == Serving {
-		l.log.Info("no longer listening")
-		l.listen.Close()
+	if next := l.sweepEnding(time.Now()); !next.IsZero() && next.Before(l.wake) {
+		l.wake = next
+	}
+	if phase == Ending && !l.owes() {
+		phase = Ended
 	}
 	if l.phase = phase; phase == Ended {
-		l.log.Info("ended")
+		l.log.Info("ended", zap.Int("connections left", len(l.callers)))
 		close(l.ended)
 		return
 	}
 	l.timer.Reset(max(time.Until(l.wake), 0))
 }
 
+// settled tells whether all that joined has been read once: the poll behind its joining brings what it holds.
+func (l *Loop) settled() bool {
+	if l.joined {
+		l.joined = false
+		l.mark()
+		return false
+	}
+	return !l.listening
+}
+
+// owes tells whether a connection that the system accepted has not come to its end yet.
+func (l *Loop) owes() bool { return l.listening || len(l.callers) > 0 }
+
+// flush writes what was put down, and ends what is to be.
+func (l *Loop) flush() {
+	for n := 0; n < len(l.dirty); n++ { // flushing may close, and closing may write elsewhere
+		l.dirty[n].flush()
+	}
+	l.dirty = l.dirty[:0]
+	if len(l.stuck) > 0 {
+		l.unstick()
+	}
+}
+
 // putOff tells whether more is read before this round: after a standstill all that waits is, so that the pause is
 // not taken for load.
 func (l *Loop) putOff(now time.Time) bool {
@@ -211,7 +246,9 @@
 		for c := range l.stuck {
 			n := c.g.OutboundBuffered()
 			if all += n; n == 0 {
-				delete(l.stuck, c)
+				if delete(l.stuck, c); c.state == draining {
+					c.finish()
+				}
 			} else if n > most {
 				worst, most = c, n
 			}
--- a/internal/node/arrive.go
+++ b/internal/node/arrive.go
@@ -28,11 +28,7 @@
 	key := n.key(band, ask)
 	full := n.kept >= n.room && n.kind(band) == "receipted" && n.receipts[key] == nil
 	if n.mod == nil || n.live*itemBytes >= n.room || full { // it never ran
-		var pause time.Duration
-		if n.site.Told["come_back"] != false {
-			pause = min(fullPause, n.span("come_back_s"))
-		}
-		asker.Answer(tag, Answer{Kind: TurnedBack, ComeBack: pause, Free: n.free})
+		asker.Answer(tag, Answer{Kind: TurnedBack, ComeBack: n.pause(), Free: n.free})
 		return nil
 	}
 	w := len(n.items)
@@ -48,6 +44,20 @@
 	return nil
 }
 
+// Takes tells whether new work of this class is taken.
+func (n *Instance) Takes(class string) bool {
+	_, ok := n.bands[class]
+	return ok
+}
+
+// pause is the word when to come back with what the instance itself refuses.
+func (n *Instance) pause() time.Duration {
+	if n.site.Told["come_back"] == false {
+		return 0
+	}
+	return min(fullPause, n.span("come_back_s"))
+}
+
 // kind of a band, as the settings tell it.
 func (n *Instance) kind(band int) any { return n.site.Told["band."+strconv.Itoa(band)+".kind"] }
 
--- a/internal/node/ends.go
+++ b/internal/node/ends.go
@@ -16,6 +16,9 @@
 func (n *Instance) Ready(old bool, ago time.Duration, asked time.Time) {
 	earliest, latest := asked.Add(-ago), time.Now().Add(-ago)
 	n.put(func() {
+		if n.mod == nil && n.draining { // what comes is refused up to the end
+			return
+		}
 		if n.mod == nil {
 			n.log.Info("runtime up", zap.Bool("old", old), zap.Duration("ago", ago))
 			n.start, n.began, n.old = latest, latest, old // a cold machine warms from its runtime's start
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -114,9 +114,9 @@
 	began            time.Time     // of the runtime, at the latest
 	first            time.Duration // when it was up
 	old, before      bool          // it had worked before; for a life of this instance that is known of
-	leaving          bool
+	draining         bool
 	killAt, graceEnd time.Duration
-	closedAt         time.Duration // the door; 0: not yet
+	closedAt         time.Duration // the listener; 0: not yet
 	asked, heard     time.Duration // for readings, the earliest unanswered; anything from anybody
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -36,7 +36,7 @@
 }
 func (s *sides) GiveUp(rid string)                      { s.put("give up %s", rid) }
 func (s *sides) Idle(time.Duration)                     {}
-func (s *sides) Leave()                                 { s.put("leave") }
+func (s *sides) Drain()                                 { s.put("drain") }
 func (s *sides) Sweep(time.Time) (next time.Time)       { return }
 func (s *sides) Checked(tag string, ok bool, _ float64) { s.put("checked %s %v", tag, ok) }
 func (s *sides) Answer(tag string, a Answer) {
@@ -301,17 +301,17 @@
 }
 
 // Every front hears of the end, and an answer that one still has to deliver is waited for, up to the kill.
-func TestLeaveReachesAllFrontsAndWaitsForWhatTheyOwe(t *testing.T) {
+func TestDrainReachesAllFrontsAndWaitsForWhatTheyOwe(t *testing.T) {
 	n, s := up(nil)
 	s.owes = true
-	n.Leave()
+	n.Drain()
 	n.Round()
-	s.wants(t, 2, "leave")
+	s.wants(t, 2, "drain")
 	n.now, n.lastRead = n.graceEnd+time.Second, n.graceEnd
 	if n.phase() != loop.Serving {
 		t.Error("the door closes though a front owes answers")
 	}
-	if s.owes = false; n.phase() != loop.Closing {
+	if s.owes = false; n.phase() != loop.Unlisting {
 		t.Error("the door stays open though nothing is owed")
 	}
 	s.owes, n.now = true, n.killAt-lastCall/2
@@ -370,14 +370,14 @@
 func TestDoorClosesBeforeTheEnd(t *testing.T) {
 	n, s := up(nil)
 	n.ask(s, "a", "effectful", "", 0)
-	n.Leave()
+	n.Drain()
 	if _, phase := n.Round(); phase != loop.Serving {
 		t.Fatalf("phase %v at the notice", phase)
 	}
 	for _, at := range []struct {
 		left time.Duration
 		want loop.Phase
-	}{{closeBefore + 100*time.Millisecond, loop.Serving}, {closeBefore - 100*time.Millisecond, loop.Closing}, {lastCall / 2, loop.Ended}} {
+	}{{closeBefore + 100*time.Millisecond, loop.Serving}, {closeBefore - 100*time.Millisecond, loop.Unlisting}, {lastCall / 2, loop.Ended}} {
 		n.now, n.lastRead = n.killAt-at.left, n.killAt-at.left
 		if got := n.phase(); got != at.want {
 			t.Errorf("%v before the stop: phase %v, want %v", at.left, got, at.want)
--- a/internal/node/rounds.go
+++ b/internal/node/rounds.go
@@ -1,9 +1,8 @@
-// This file owns rounds, sweeps and the leave. It must never keep the loop longer than one round.
+// This file owns rounds and sweeps. It must never keep the loop longer than one round.
 
 package node
 
 import (
-	"slices"
 	"time"
 
 	"thymechute/internal/loop"
@@ -27,10 +26,7 @@
 	if n.mod == nil {
 		n.reports.Sweep(clock, false)
 		n.sweepFronts(clock)
-		if n.leaving {
-			return clock, loop.Ended
-		}
-		return clock.Add(sweepEvery), loop.Serving
+		return clock.Add(wakeGap), n.phase()
 	}
 	at := n.wake
 	if n.now >= at {
@@ -51,7 +47,7 @@
 	if n.now >= n.swept {
 		n.sweep()
 	}
-	n.reports.Sweep(clock, n.good && !n.leaving)
+	n.reports.Sweep(clock, n.good && !n.draining)
 	n.sweepFronts(clock)
 	if at := n.start.Add(at); next.IsZero() || at.Before(next) {
 		next = at
@@ -90,26 +86,6 @@
 	return n.wake
 }
 
-// phase: a leaving server closes its door once nothing is owed and nothing that comes would run, or the kill is
-// near; it ends when what crossed that is answered.
-func (n *Instance) phase() loop.Phase {
-	if !n.leaving {
-		return loop.Serving
-	}
-	owes := slices.ContainsFunc(n.items, func(it item) bool { return it.live && !it.answered && it.asker != nil }) ||
-		slices.ContainsFunc(n.fronts, Front.Owes)
-	if n.closedAt == 0 && (n.now >= n.killAt-closeBefore || n.now >= n.graceEnd && n.now-n.lastRead > quietBefore && !owes) {
-		n.closedAt = n.now
-	}
-	switch {
-	case n.now >= n.killAt-lastCall, n.closedAt > 0 && n.now-n.closedAt > closeFor && !owes:
-		return loop.Ended
-	case n.closedAt > 0:
-		return loop.Closing
-	}
-	return loop.Serving
-}
-
 func (n *Instance) sweep() {
 	n.swept = n.now + sweepEvery
 	for key, r := range n.receipts {
@@ -117,28 +93,15 @@
 			n.discard(key)
 		}
 	}
+	n.endChecks(func(c check) bool { return n.now > c.until })
+}
+
+// endChecks answers the deep checks that are over as bad.
+func (n *Instance) endChecks(over func(check) bool) {
 	for tag, c := range n.checks {
-		if n.now > c.until {
+		if over(c) {
 			delete(n.checks, tag)
 			c.asker.Checked(c.tag, false, n.free)
 		}
 	}
 }
-
-// Leave is the notice that this server will be stopped.
-func (n *Instance) Leave() {
-	n.put(func() {
-		if n.leaving {
-			return
-		}
-		n.leaving = true
-		n.killAt = n.now + n.stop
-		n.graceEnd = n.now + n.span("grace_s")
-		if n.mod != nil {
-			n.mod.Leave(n.now, n.stop)
-		}
-		for _, f := range n.fronts {
-			f.Leave()
-		}
-	})
-}
--- a/internal/node/types.go
+++ b/internal/node/types.go
@@ -76,9 +76,9 @@
 // Front is what a protocol's connections are told. Several stand behind the one door.
 type Front interface {
 	Idle(after time.Duration)
-	Leave()
+	Drain()
 	Sweep(now time.Time)
-	Owes() bool // answers that are given and not yet delivered; a leaving server waits for them, up to the kill
+	Owes() bool // answers that are given and not yet delivered; a draining instance waits for them, up to the kill
 }
 
 // Load is how much of the instance is taken, for a front that may leave work where it is.
--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -13,40 +13,60 @@
 )
 
 // conn is one connection of a stub. It has brought nothing whole yet, or is idle, or in use: three different things
-// where room or time is short.
+// where room or time is short. It ends in two steps, whatever the reason: noticed (told closing, still read, so that
+// a request which crosses the notice is served), then ended (nothing more is read; what is open gets its answers,
+// and loop closes the connection behind the last of them).
 type conn struct {
-	front  *Front
-	wire   loop.Wire
-	in     jsonline.Lines
-	open   map[string]struct{}
-	last   time.Time // opened, a request read or answered
-	began  time.Time // of a message that is not whole; zero: none
-	asked  bool      // a whole request has come
-	faults int
+	front   *Front
+	wire    loop.Wire
+	in      jsonline.Lines
+	open    map[string]struct{}
+	last    time.Time // opened, a request read or answered
+	began   time.Time // of a message that is not whole; zero: none
+	noticed time.Time // when it was told closing; zero: not yet
+	asked   bool      // a whole request has come
+	ended   bool
+	faults  int
 }
 
 func (c *conn) Opened(w loop.Wire) {
 	c.wire, c.last = w, time.Now()
+	if c.front.draining || c.front.full() {
+		c.notice(c.last)
+	}
 	c.front.conns[c] = struct{}{}
-	if c.front.leaving {
-		w.Write(closing)
+}
+
+// Owes tells whether a request that was read has no answer yet.
+func (c *conn) Owes() bool { return len(c.open) > 0 }
+
+// Closed: the other side ended the connection, or it left too much unread.
+func (c *conn) Closed(error) {
+	delete(c.front.conns, c)
+	if c.Owes() {
+		c.front.door.Gone(c)
 	}
 }
 
-func (c *conn) Closed(error) { c.leave() }
+// notice tells the stub to send no more here; a well-behaved one closes the connection once all is answered.
+func (c *conn) notice(now time.Time) {
+	if c.noticed.IsZero() && !c.ended {
+		c.noticed = now
+		c.wire.Write(closing)
+	}
+}
 
-// end closes the connection; what was open on it is given up.
+// end lets nothing more in. What is open stays owed.
 func (c *conn) end() {
-	c.leave()
+	c.ended = true
 	c.wire.Close()
+	c.leave()
 }
 
+// leave gives the place of an ended connection back once nothing is open on it.
 func (c *conn) leave() {
-	if _, ok := c.front.conns[c]; ok {
+	if c.ended && !c.Owes() {
 		delete(c.front.conns, c)
-		if len(c.open) > 0 {
-			c.front.door.Gone(c)
-		}
 	}
 }
 
@@ -60,7 +80,6 @@
 			err = c.take(q)
 		}
 		if err == nil {
-			c.asked, c.last = true, time.Now()
 			return nil
 		}
 		var f *Fault
@@ -73,21 +92,32 @@
 		}
 		return nil
 	})
+	if err != nil {
+		c.end()
+		return err
+	}
 	if !c.in.Partial() {
 		c.began = time.Time{}
 	} else if whole || c.began.IsZero() {
 		c.began = time.Now()
 	}
-	return err
+	return nil
 }
 
 func (c *conn) take(q Request) error {
+	if q.Note { // nothing is answered to one, and none has a meaning here; but a class or a check wants an answer
+		if q.Ask.Band == methodCheck || c.front.door.Takes(q.Ask.Band) {
+			return &Fault{codeRequest, errors.New("expected an id")}
+		}
+		return nil
+	}
 	if _, twice := c.open[q.ID]; twice { // whichever of the two an error under this id would be taken for
 		return errors.New("two requests under one id")
 	}
 	if len(c.open) >= mostOpen {
 		return &Fault{codeRequest, fmt.Errorf("over %d open requests", mostOpen)}
 	}
+	c.asked, c.last = true, time.Now()
 	c.open[q.ID] = struct{}{}
 	if q.Check {
 		c.front.door.Check(c, q.ID, q.Full)
@@ -122,4 +152,5 @@
 func (c *conn) done(tag string) {
 	delete(c.open, tag)
 	c.last = time.Now()
+	c.leave()
 }
--- a/internal/rpc/decode.go
+++ b/internal/rpc/decode.go
@@ -19,6 +19,7 @@
 // Request is a message from a stub.
 type Request struct {
 	ID    string // as it stands in the line
+	Note  bool   // a notification: the line has no id, and wants no answer
 	Check bool   // a health check; Full: a deep one
 	Full  bool
 	Ask   node.Ask
@@ -37,10 +38,11 @@
 	r := jsonline.New(line)
 	var method string
 	var params []byte
-	version := ""
+	version, named := "", false
 	err = r.Object(func(name []byte) error {
 		switch string(name) {
 		case "id":
+			named = true
 			if q.ID != "" {
 				q.ID = "" // whose answer would it be
 				return errors.New("id stands twice")
@@ -70,10 +72,13 @@
 		return q, &Fault{codeParse, err}
 	case err != nil:
 		return q, &Fault{codeRequest, err}
+	case version == "2.0" && method != "" && !named: // what it wants to say is read by its method alone
+		q.Note, q.Ask.Band = true, method
+		return q, nil
 	case version != "2.0" || method == "" || q.ID == "":
 		return q, &Fault{codeRequest, errors.New("expected jsonrpc 2.0, a method and an id")}
 	}
-	if q.Check = method == "check"; q.Check && params == nil {
+	if q.Check = method == methodCheck; q.Check && params == nil {
 		return q, nil
 	}
 	q.Ask.Band = method
--- a/internal/rpc/front.go
+++ b/internal/rpc/front.go
@@ -27,11 +27,14 @@
 	mostFaults  = 8                       // that a connection may bring
 	unasked     = 1500 * time.Millisecond // a connection may stay without a whole request, or with part of one
 	sweepEvery  = 100 * time.Millisecond
-	silent      = time.Minute // a connection with nothing open is closed after this in any case
+	silent      = time.Minute            // a connection with nothing open is ended after this in any case
+	crossing    = 250 * time.Millisecond // between the notice and the end, for a request that crosses the notice
+	methodCheck = "check"
 )
 
 // Door is where work items go.
 type Door interface {
+	Takes(class string) bool // such a class is known
 	Arrive(asker node.Asker, tag string, ask node.Ask) error
 	Gone(asker node.Asker)
 	Check(asker node.Asker, tag string, full bool)
@@ -39,64 +42,79 @@
 
 // Front owns the stubs' connections.
 type Front struct {
-	door    Door
-	log     *zap.Logger
-	most    int
-	conns   map[*conn]struct{}
-	idle    time.Duration
-	leaving bool
-	next    time.Time
-	refused int // connections over the limit since the last line of the log
+	door     Door
+	log      *zap.Logger
+	most     int // connections, and so many more that have their notice:
+	spare    int
+	conns    map[*conn]struct{} // not ended, or with a request open
+	idle     time.Duration
+	draining bool
+	next     time.Time
+	refused  int // connections over the limit since the last line of the log
 }
 
-// NewFront takes at most so many connections.
-func NewFront(door Door, most int, log *zap.Logger) *Front {
-	return &Front{door: door, most: most, log: log, conns: map[*conn]struct{}{}, idle: silent}
+// NewFront keeps so many connections, and so many spare ones that have their notice.
+func NewFront(door Door, most, spare int, log *zap.Logger) *Front {
+	return &Front{door: door, most: most, spare: spare, log: log, conns: map[*conn]struct{}{}, idle: silent}
 }
 
 // Accept makes the peer of a new connection. At the limit the one goes that is needed least: the longest without a
-// whole request, else the longest idle. Where all are in use the new one goes.
-func (f *Front) Accept() loop.Peer {
-	if len(f.conns) >= f.most {
+// whole request, else the longest idle. Where all are in use the new one is told closing, and what it brings is
+// judged like all else.
+func (f *Front) Accept() loop.Caller {
+	if f.full() {
 		f.refused++
 		var least *conn
 		for c := range f.conns {
-			if len(c.open) == 0 && (least == nil || c.asked == least.asked && c.last.Before(least.last) || !c.asked && least.asked) {
+			if !c.Owes() && !c.ended && (least == nil || c.asked == least.asked && c.last.Before(least.last) || !c.asked && least.asked) {
 				least = c
 			}
 		}
-		if least == nil {
+		if least == nil && len(f.conns) >= f.most+f.spare {
 			return nil
 		}
-		least.end()
+		if least != nil {
+			least.notice(time.Now())
+			least.end()
+		}
 	}
 	return &conn{front: f, in: jsonline.Lines{Longest: longestLine}, open: map[string]struct{}{}}
 }
 
+func (f *Front) full() bool { return len(f.conns) >= f.most }
+
 // Idle closes connections with nothing open after so long.
 func (f *Front) Idle(after time.Duration) { f.idle = min(max(after, 10*time.Millisecond), silent) }
 
-// Leave tells all stubs to send no more here.
-func (f *Front) Leave() {
-	f.leaving = true
+// Drain tells all stubs to send no more here.
+func (f *Front) Drain() {
+	f.draining = true
 	for c := range f.conns {
-		c.wire.Write(closing)
+		c.notice(time.Now())
 	}
 }
 
 // Owes: what is written leaves with the round.
 func (f *Front) Owes() bool { return false }
 
-// Sweep closes what is idle.
+// Sweep ends what has been idle, or at half a message, for too long.
 func (f *Front) Sweep(now time.Time) {
 	if now.Before(f.next) {
 		return
 	}
 	f.next = now.Add(sweepEvery)
 	for c := range f.conns {
-		part := !c.began.IsZero() && now.Sub(c.began) > unasked
-		if part || len(c.open) == 0 && (now.Sub(c.last) > f.idle || !c.asked && now.Sub(c.last) > unasked) {
+		switch {
+		case c.ended:
+		case !c.began.IsZero() && now.Sub(c.began) > unasked, !c.asked && now.Sub(c.last) > unasked:
 			c.end()
+		case c.Owes():
+		case !c.noticed.IsZero():
+			if !f.draining && now.Sub(c.noticed) > crossing && now.Sub(c.last) > crossing {
+				c.end()
+			}
+		case now.Sub(c.last) > f.idle:
+			c.notice(now)
 		}
 	}
 	if f.refused > 0 {
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -56,13 +56,14 @@
 
 type door struct{ asked, gone int }
 
+func (d *door) Takes(class string) bool                   { return class == "excursion" }
 func (d *door) Arrive(node.Asker, string, node.Ask) error { d.asked++; return nil }
 func (d *door) Gone(node.Asker)                           { d.gone++ }
 func (d *door) Check(node.Asker, string, bool)            {}
 
 func TestOnlyConnectionsWithNothingOpenAreClosedAsIdle(t *testing.T) {
 	d := &door{}
-	f := NewFront(d, 2, zap.NewNop())
+	f := NewFront(d, 2, 1, zap.NewNop())
 	busy, idle := &aid.Wire{}, &aid.Wire{}
 	one, two := f.Accept(), f.Accept()
 	one.Opened(busy)
@@ -77,13 +78,25 @@
 	}
 	one.(*conn).Answer("7", node.Answer{})
 	f.Sweep(time.Now().Add(4 * time.Second))
+	if busy.Closed || !strings.HasSuffix(busy.Out, string(closing)) {
+		t.Errorf("closed %v without a notice before: %q", busy.Closed, busy.Out)
+	}
+	if err := one.Read([]byte(text + "\n")); err != nil || d.asked != 2 { // it crosses the notice
+		t.Fatalf("%v, %d asked", err, d.asked)
+	}
+	f.Sweep(time.Now().Add(6 * time.Second))
+	if busy.Closed {
+		t.Error("closed over a request that crossed the notice")
+	}
+	one.(*conn).Answer("7", node.Answer{})
+	f.Sweep(time.Now().Add(8 * time.Second))
 	if !busy.Closed {
 		t.Error("an answered connection stays open")
 	}
 }
 
 func TestWhoBringsNothingWholeIsClosedSoon(t *testing.T) {
-	f := NewFront(&door{}, 9, zap.NewNop())
+	f := NewFront(&door{}, 9, 1, zap.NewNop())
 	now := time.Now()
 	for what, part := range map[string]string{"silent": "", "half a request": text[:50], "whole and half": text + "\n" + text[:50], "whole": text + "\n"} {
 		p, w := f.Accept(), &aid.Wire{}
@@ -109,7 +122,7 @@
 
 func TestMoreOpenThanAllowedAreNotTaken(t *testing.T) {
 	d, w := &door{}, &aid.Wire{}
-	p := NewFront(d, 2, zap.NewNop()).Accept()
+	p := NewFront(d, 2, 1, zap.NewNop()).Accept()
 	p.Opened(w)
 	for n := range mostOpen + 1 {
 		if err := p.Read([]byte(strings.Replace(text, `"id":7`, fmt.Sprintf(`"id":%d`, n), 1) + "\n")); err != nil {
