Tests of endings with real connections; a silent runtime link; runs that outlast their window

A link to the runtime that stands but brings nothing was kept for ever: runtime.Gauges now opens another after 2 s of owed readings. A keyed run that took longer than its window lost its key: a repeat with another body took its place, and who waited for the first would have got the result of the second (node.arrive, Record). The key of a try in hand now stands until it is over. A deep check that the runtime has not answered is answered at the notice. Stand-in runtimes in tests answer gauges by themselves, as real ones do; before, the new 2 s found them silent (seen: TestDeadLetterThatNothingTakesStaysTheBrokers, TestRequestThatCrossesTheIdleEndIsServed).

--- a/internal/aid/aid.go
+++ b/internal/aid/aid.go
@@ -16,6 +16,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -246,30 +247,44 @@
 // StartWith logs to the file instead of into the Program's memory; args go on its command line.
 func StartWith(t *testing.T, given map[string]any, log *os.File, args ...string) *Program {
 	t.Helper()
-	p := &Program{t: t, Cmd: exec.Command(Built(t), args...), Exited: make(chan int, 1), file: filepath.Join(t.TempDir(), "config.json")}
+	p := &Program{t: t, file: filepath.Join(t.TempDir(), "config.json")}
 	text, err := json.Marshal(given)
 	if err != nil {
 		t.Fatal(err)
 	}
 	p.write(text)
+	p.start(log, args...)
+	return p
+}
+
+// StartFrom starts the program with the configuration at that path.
+func StartFrom(t *testing.T, path string) *Program {
+	t.Helper()
+	p := &Program{t: t, file: path}
+	p.start(nil)
+	return p
+}
+
+func (p *Program) start(log *os.File, args ...string) {
+	p.t.Helper()
+	p.Cmd, p.Exited = exec.Command(Built(p.t), args...), make(chan int, 1)
 	p.Cmd.Env = append(os.Environ(), "GW_CONFIG="+p.file)
 	if p.Cmd.Stderr = p; log != nil {
 		p.Cmd.Stderr = log
 	}
 	if err := p.Cmd.Start(); err != nil {
-		t.Fatal(err)
+		p.t.Fatal(err)
 	}
 	go func() {
 		_ = p.Cmd.Wait()
 		p.Exited <- p.Cmd.ProcessState.ExitCode()
 	}()
-	t.Cleanup(func() {
+	p.t.Cleanup(func() {
 		_ = p.Cmd.Process.Kill()
-		if log := p.Log(); t.Failed() || strings.Contains(log, "DATA RACE") || strings.Contains(log, "panic") {
-			t.Error(log)
+		if log := p.Log(); p.t.Failed() || strings.Contains(log, "DATA RACE") || strings.Contains(log, "panic") {
+			p.t.Error(log)
 		}
 	})
-	return p
 }
 
 func (p *Program) Write(b []byte) (int, error) {
@@ -333,6 +348,8 @@
 	conns   chan net.Conn
 	conn    net.Conn
 	in      *bufio.Reader
+	lines   chan string // of a runtime's link once it is up: all but gauges, which are answered as they come
+	mute    *atomic.Bool
 }
 
 // NewParty listens.
@@ -375,7 +392,7 @@
 func (p *Party) Accept() {
 	p.t.Helper()
 	p.conn = Next(p.t, p.conns, "a connection to a stand-in")
-	p.in = bufio.NewReader(p.conn)
+	p.in, p.lines, p.mute = bufio.NewReader(p.conn), nil, &atomic.Bool{}
 }
 
 // Break ends the connection.
@@ -389,7 +406,42 @@
 	}
 }
 
+// Mute lets gauges go unanswered on this link from now on.
+func (p *Party) Mute() { p.mute.Store(true) }
+
+// pump answers the gauges of a link and hands on all else.
+func pump(c net.Conn, in *bufio.Reader, mute *atomic.Bool, to chan<- string) {
+	defer close(to)
+	for {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			return
+		}
+		var m struct{ Verb, Nonce string }
+		if _ = json.Unmarshal([]byte(line), &m); m.Verb != "gauges" {
+			to <- line
+		} else if !mute.Load() {
+			answerGauges(c, m.Nonce)
+		}
+	}
+}
+
+func answerGauges(c net.Conn, nonce string) {
+	_, _ = fmt.Fprintf(c, `{"verb":"load","nonce":%q,"readings":[0.1,0]}`+"\n", nonce)
+}
+
 func (p *Party) line() (string, error) {
+	if p.lines != nil {
+		select {
+		case line, ok := <-p.lines:
+			if !ok {
+				return "", io.EOF
+			}
+			return line, nil
+		case <-time.After(patience):
+			return "", os.ErrDeadlineExceeded
+		}
+	}
 	_ = p.conn.SetReadDeadline(time.Now().Add(patience))
 	return p.in.ReadString('\n')
 }
@@ -418,6 +470,9 @@
 		p.Send("%s\n", line)
 	}
 	p.command("gauges") // comes behind what the program did with the notices
+	_ = p.conn.SetReadDeadline(time.Time{})
+	p.lines = make(chan string, 10000)
+	go pump(p.conn, p.in, p.mute, p.lines)
 }
 
 // Command waits for a command of that verb, and answers the gauges asked for meanwhile.
@@ -459,7 +514,8 @@
 			p.t.Fatalf("%q: %v", line, err)
 		}
 		if m["verb"] == "gauges" {
-			_, _ = fmt.Fprintf(p.conn, `{"verb":"load","nonce":%q,"readings":[0.1,0]}`+"\n", m["nonce"])
+			nonce, _ := m["nonce"].(string)
+			answerGauges(p.conn, nonce)
 		}
 		if m["verb"] == verb {
 			return m
@@ -587,6 +643,23 @@
 	return r, false
 }
 
+// Ends fails unless the program ends the connection now, by no reset and with nothing more on it.
+func (s *Stub) Ends() {
+	s.t.Helper()
+	_ = s.Conn.SetReadDeadline(time.Now().Add(patience))
+	if more, err := io.ReadAll(s.in); err != nil || len(more) > 0 {
+		s.t.Fatalf("%q and %v, want the connection's end", more, err)
+	}
+}
+
+// Closing fails unless the next message is the notice that no more may be sent on this connection.
+func (s *Stub) Closing() {
+	s.t.Helper()
+	if r, closed := s.Read(); closed || r.Method != "closing" {
+		s.t.Fatalf("got %+v (closed %v), want closing", r, closed)
+	}
+}
+
 // Wants fails unless the next message answers that id with that code and, for a result, that body.
 func (s *Stub) Wants(id, code int, body string) Reply {
 	s.t.Helper()
@@ -596,3 +669,20 @@
 	}
 	return r
 }
+
+// Obey runs all that is started, with this result, until the link breaks.
+func (p *Party) Obey(result string) {
+	for n := 1; ; {
+		line, err := p.line()
+		if err != nil {
+			return
+		}
+		var m struct{ Verb, Task string }
+		if _ = json.Unmarshal([]byte(line), &m); m.Verb == "start" {
+			if _, err = fmt.Fprintln(p.conn, EndLine(n, m.Task, "good", result)); err != nil {
+				return
+			}
+			n++
+		}
+	}
+}
--- a/internal/node/arrive.go
+++ b/internal/node/arrive.go
@@ -82,7 +82,7 @@
 	r := n.receipts[it.key]
 	same := func() bool { return r != nil && r.body == n.digest(ask.Body) }
 	switch window := n.window(it.band); {
-	case it.key != "" && r != nil && n.now-work.Waited <= r.end:
+	case it.key != "" && r != nil && (n.now-work.Waited <= r.end || !r.over): // a try in hand outlasts its window
 		if kind == "receipted" && !same() { // not the same request: it must not get that one's result
 			it.why = Conflict
 			n.answer(w, Answer{Kind: Scrapped})
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -161,6 +161,31 @@
 	s.wants(t, 1, "start c")
 }
 
+// A run may take longer than its window. Its key stands until it is over: a repeat gets its result, and another body does
+// not take its place, as those that wait for the first would get the result of the second.
+func TestRunOutlastsItsWindow(t *testing.T) {
+	n, s := up(nil)
+	n.ask(s, "a", "receipted", "key", 0)
+	n.ask(s, "b", "receipted", "key", 0)
+	n.receipts["receipted key"].end = n.now - 10*afterEnd
+	n.swept = 0
+	n.Round()
+	n.ask(s, "c", "receipted", "key", 0)
+	if err := n.Arrive(s, "d", Ask{Rid: "d", Band: "receipted", Receipt: "key", KB: 1, Came: time.Now(), Body: []byte("another")}); err != nil {
+		t.Fatal(err)
+	}
+	n.Round()
+	s.wants(t, 1, "answer d 2")
+	s.wants(t, 1, "start")
+	n.End("a", policy.OK, 0, []byte("one"))
+	n.Round()
+	for _, rid := range []string{"a", "b", "c"} {
+		s.wants(t, 1, "answer "+rid+" 0 one")
+	}
+	n.ask(s, "e", "receipted", "key", 0) // past the window, and over
+	s.wants(t, 1, "start e")
+}
+
 // Of a receipt's two windows the longer holds, whichever settings are in force when the repeat comes.
 func TestReceiptKeepsTheLongerOfItsWindows(t *testing.T) {
 	for _, later := range []float64{90, 1} {
@@ -300,6 +325,19 @@
 	s.wants(t, 1, "start a")
 }
 
+// A deep check that the runtime has not answered is answered at the notice: no verdict can make it good any more.
+func TestDrainAnswersTheDeepChecks(t *testing.T) {
+	n, s := up(nil)
+	n.stored = false
+	n.Check(s, "1", true)
+	s.wants(t, 1, "test")
+	n.Drain()
+	n.Round()
+	s.wants(t, 1, "checked 1 false")
+	n.Verdict("check1", true)
+	s.wants(t, 1, "checked")
+}
+
 // Every front hears of the end, and an answer that one still has to deliver is waited for, up to the kill.
 func TestDrainReachesAllFrontsAndWaitsForWhatTheyOwe(t *testing.T) {
 	n, s := up(nil)
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -23,7 +23,8 @@
 	mostBytes   = 32 << 10
 	leastWait   = 20 * time.Millisecond
 	mostWait    = time.Second
-	mostOdd     = 20 // remarks on what is odd in a link's life
+	silence     = 2 * time.Second // without a word, though readings are owed, before the link is opened anew
+	mostOdd     = 20              // remarks on what is odd in a link's life
 )
 
 // Notice is a message from the runtime.
@@ -136,6 +137,7 @@
 	odd    int
 	wait   time.Duration
 	opened time.Time
+	owed   time.Time // the first reading asked for since anything came; zero: none
 }
 
 // NewLink makes a link; dial opens a connection for it, after calls back on the loop later.
@@ -169,7 +171,7 @@
 	if l.wire != nil {
 		l.wire.Close()
 	}
-	l.wire, l.caught, l.odd, l.opened = w, false, 0, time.Now()
+	l.wire, l.caught, l.odd, l.opened, l.owed = w, false, 0, time.Now(), time.Time{}
 	l.links++
 	l.tag = "sync" + strconv.Itoa(l.links)
 	l.in = jsonline.Lines{Longest: longestLine}
@@ -200,6 +202,7 @@
 	if s.wire != l.wire {
 		return nil
 	}
+	l.owed = time.Time{}
 	return l.in.Feed(p, func(line []byte) error {
 		n, err := Decode(line)
 		if err != nil {
@@ -287,8 +290,18 @@
 	l.send("give", task, "", reply, "")
 }
 
-// Gauges asks for a reading.
-func (l *Link) Gauges() { l.send("gauges", "", "", nil, "g") }
+// Gauges asks for a reading. A runtime that owes readings for long may not be at the other end of this link any more,
+// though nobody closed it: another is opened, and takes its place once it stands.
+func (l *Link) Gauges() {
+	if now := time.Now(); l.owed.IsZero() {
+		l.owed = now
+	} else if now.Sub(l.owed) > silence {
+		l.log.Warn("runtime link silent", zap.Duration("for", now.Sub(l.owed)))
+		l.owed = now
+		l.Open()
+	}
+	l.send("gauges", "", "", nil, "g")
+}
 
 // SelfTest asks for the work of a deep health check.
 func (l *Link) SelfTest(tag string) { l.send("selftest", "", "", nil, tag) }
