A connection we end keeps what it owes through floods and slow readers; its life as a state machine

Only the memory of all together still closes at once. - Bytes dropped after the end counted while answers were still owed, so that 256 KiB behind a fault closed over them (OnTraffic). They count once the connection is half-closed. - acceptRest ended at the first connection that was gone before it was taken (ECONNABORTED), leaving those behind it to a reset. The time to linger is a field so that the state machine may be slower than 1 s.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -2,8 +2,8 @@
 // accepted ends by one path, whatever the reason: open; draining (Close was called or its Read failed: nothing more
 // is read by the peer, what it owes is still written); half-closed (all is written and our side is shut; what comes
 // is dropped, so that closing over it does not reset the connection and take answers with it); closed. The steps are
-// bounded: draining by the peer, which owes nothing for ever, and by mostUnsent; the rest by lingerFor, mostDropped
-// and mostEnding connections at a time, of which the oldest goes.
+// bounded: draining by the peer, which owes nothing for ever, and by what all together may leave unread; the rest by
+// lingerFor, mostDropped and mostEnding connections at a time, of which the oldest goes.
 
 package loop
 
@@ -19,7 +19,7 @@
 
 const (
 	lingerFor   = time.Second // the other side has so long to read what is left and to end
-	mostDropped = 256 << 10   // bytes after the end
+	mostDropped = 256 << 10   // bytes, before the end as well as after it, that end a half-closed connection
 )
 
 // state is how far a connection is with its life.
@@ -81,7 +81,7 @@
 		return gnet.None
 	}
 	if c.state != open {
-		if c.dropped += len(data); c.dropped > mostDropped {
+		if c.dropped += len(data); c.dropped > mostDropped && c.state == halfClosed { // before that answers are owed
 			return gnet.Close
 		}
 		return gnet.None
@@ -170,7 +170,7 @@
 		return
 	}
 	if c.until.IsZero() {
-		c.until = time.Now().Add(lingerFor)
+		c.until = time.Now().Add(c.l.linger)
 		c.l.ending[c] = struct{}{}
 	}
 	if c.g.OutboundBuffered() > 0 {
--- a/internal/loop/join.go
+++ b/internal/loop/join.go
@@ -67,11 +67,13 @@
 	}
 }
 
-// acceptRest takes what stands in the listener's queue, until it is empty.
+// acceptRest takes what stands in the listener's queue, until it is empty. One that is gone before it is taken must
+// not leave those behind it.
 func (l *Loop) acceptRest() {
 	raw, err := l.listener.SyscallConn()
-	for err == nil {
+	for err == nil || errors.Is(err, unix.ECONNABORTED) || errors.Is(err, unix.EINTR) {
 		var c net.Conn
+		err = nil
 		failed := raw.Control(func(fd uintptr) { c, err = acceptOne(int(fd)) })
 		if err = errors.Join(failed, err); err == nil {
 			_, err = l.client.EnrollContext(c, accepted{})
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	mostUnsent  = 256 << 10             // bytes that one peer may leave unread before its connection is closed
+	mostUnsent  = 256 << 10             // bytes that one peer may leave unread before its connection ends
 	keptBuffer  = 16 << 10              // output buffers over it are given back when they are empty
 	lateWake    = 50 * time.Millisecond // a wake so late tells of a standstill
 	mostGathers = 64                    // rounds put off after a standstill while still more comes in
@@ -104,6 +104,7 @@
 	callers    map[*conn]struct{}
 	ending     map[*conn]struct{} // of them, those on which nothing is owed any more
 	mostEnding int
+	linger     time.Duration
 }
 
 // Run serves on the address, within the memory, until the host has ended; mostEnding is how many connections may be on
@@ -114,7 +115,7 @@
 		return err
 	}
 	l := &Loop{host: host, log: log, listener: listener, listening: true, ended: make(chan struct{}), stuck: map[*conn]struct{}{},
-		unsent: int(memory / 8), callers: map[*conn]struct{}{}, ending: map[*conn]struct{}{}, mostEnding: mostEnding}
+		unsent: int(memory / 8), callers: map[*conn]struct{}{}, ending: map[*conn]struct{}{}, mostEnding: mostEnding, linger: lingerFor}
 	l.client, err = gnet.NewClient(l, gnet.WithNumEventLoop(1), gnet.WithReadBufferCap(readBuffer),
 		gnet.WithLogger(log.Sugar()), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
 	if err == nil {
@@ -238,25 +239,32 @@
 	return true
 }
 
-// unstick closes the connections that leave too much unread, and the worst while all together hold too much.
+// unstick ends the connections that leave too much unread: nothing more is read from them, what they still owe is
+// written, and they close by their time. While all together hold too much the worst closes at once: memory goes first.
 func (l *Loop) unstick() {
 	for {
 		var worst *conn
 		most, all := 0, 0
 		for c := range l.stuck {
 			n := c.g.OutboundBuffered()
-			if all += n; n == 0 {
+			if n == 0 {
 				if delete(l.stuck, c); c.state == draining {
 					c.finish()
 				}
-			} else if n > most {
+				continue
+			}
+			if n > mostUnsent && c.state == open {
+				l.log.Warn("connection ends", zap.String("error", "peer does not read"), zap.Int("unsent", n))
+				c.Close()
+			}
+			if all += n; n > most {
 				worst, most = c, n
 			}
 		}
-		if most <= mostUnsent && all <= l.unsent {
+		if all <= l.unsent {
 			return
 		}
-		l.log.Warn("connection closed", zap.String("error", "peer does not read"), zap.Int("unsent", most))
+		l.log.Warn("connection closed", zap.String("error", "peers do not read"), zap.Int("unsent", most), zap.Int("of all", all))
 		delete(l.stuck, worst)
 		_ = l.el.Close(worst.g)
 	}
