Every end but a fault's is told first: evictions and half lines too, and what crosses it is served

Seen by reading: eviction at the limit wrote closing and ended in the same round, and a line that took over 1.5 s ended its connection untold, so that a request or the rest of a line that crossed the end was dropped unread. Both have their notice now and 250 ms, out of the spare places; only with those taken too one ends at once.

--- a/internal/aid/aid.go
+++ b/internal/aid/aid.go
@@ -670,9 +670,9 @@
 	return r
 }
 
-// Obey runs all that is started, with this result, until the link breaks.
-func (p *Party) Obey(result string) {
-	for n := 1; ; {
+// Obey runs all that is started, with this result, until the link breaks; its first notice has that number.
+func (p *Party) Obey(first int, result string) {
+	for n := first; ; {
 		line, err := p.line()
 		if err != nil {
 			return
--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -13,9 +13,9 @@
 )
 
 // conn is one connection of a stub. It has brought nothing whole yet, or is idle, or in use: three different things
-// where room or time is short. It ends in two steps, whatever the reason: noticed (told closing, still read, so that
-// a request which crosses the notice is served), then ended (nothing more is read; what is open gets its answers,
-// and loop closes the connection behind the last of them).
+// where room or time is short. It ends in two steps: noticed (told closing, still read, so that a request which
+// crosses the notice is served), then ended (nothing more is read; what is open gets its answers, and loop closes the
+// connection behind the last of them). A fault that can't be answered ends it without the first step.
 type conn struct {
 	front   *Front
 	wire    loop.Wire
@@ -31,10 +31,11 @@
 
 func (c *conn) Opened(w loop.Wire) {
 	c.wire, c.last = w, time.Now()
-	if c.front.draining || c.front.full() {
+	full := c.front.full()
+	c.front.conns[c] = struct{}{}
+	if c.front.draining || full {
 		c.notice(c.last)
 	}
-	c.front.conns[c] = struct{}{}
 }
 
 // Owes tells whether a request that was read has no answer yet.
@@ -42,7 +43,7 @@
 
 // Closed: the other side ended the connection, or it left too much unread.
 func (c *conn) Closed(error) {
-	delete(c.front.conns, c)
+	c.forget()
 	if c.Owes() {
 		c.front.door.Gone(c)
 	}
@@ -52,10 +53,16 @@
 func (c *conn) notice(now time.Time) {
 	if c.noticed.IsZero() && !c.ended {
 		c.noticed = now
+		c.front.noticed++
 		c.wire.Write(closing)
 	}
 }
 
+// stalled: it has been without a whole request, or with part of one, for too long.
+func (c *conn) stalled(now time.Time) bool {
+	return !c.began.IsZero() && now.Sub(c.began) > unasked || !c.asked && now.Sub(c.last) > unasked
+}
+
 // end lets nothing more in. What is open stays owed.
 func (c *conn) end() {
 	c.ended = true
@@ -66,7 +73,17 @@
 // leave gives the place of an ended connection back once nothing is open on it.
 func (c *conn) leave() {
 	if c.ended && !c.Owes() {
-		delete(c.front.conns, c)
+		c.forget()
+	}
+}
+
+func (c *conn) forget() {
+	if _, ok := c.front.conns[c]; !ok {
+		return
+	}
+	delete(c.front.conns, c)
+	if !c.noticed.IsZero() {
+		c.front.noticed--
 	}
 }
 
--- a/internal/rpc/front.go
+++ b/internal/rpc/front.go
@@ -47,6 +47,7 @@
 	most     int // connections, and so many more that have their notice:
 	spare    int
 	conns    map[*conn]struct{} // not ended, or with a request open
+	noticed  int                // of them, those that have their notice
 	idle     time.Duration
 	draining bool
 	next     time.Time
@@ -58,30 +59,40 @@
 	return &Front{door: door, most: most, spare: spare, log: log, conns: map[*conn]struct{}{}, idle: silent}
 }
 
-// Accept makes the peer of a new connection. At the limit the one goes that is needed least: the longest without a
-// whole request, else the longest idle. Where all are in use the new one is told closing, and what it brings is
-// judged like all else.
+// Accept makes the peer of a new connection. At the limit the one goes that is needed least: it has its notice, and a
+// request that crosses that is still served. Where all are in use the new one gets the notice, and what it brings is
+// judged like all else. With the spare places taken too one ends at once, the new one if need be.
 func (f *Front) Accept() loop.Caller {
 	if f.full() {
 		f.refused++
-		var least *conn
-		for c := range f.conns {
-			if !c.Owes() && !c.ended && (least == nil || c.asked == least.asked && c.last.Before(least.last) || !c.asked && least.asked) {
-				least = c
-			}
+		if c := f.least(func(c *conn) bool { return c.noticed.IsZero() }); c != nil {
+			c.notice(time.Now())
 		}
-		if least == nil && len(f.conns) >= f.most+f.spare {
+	}
+	if len(f.conns) >= f.most+f.spare {
+		c := f.least(func(*conn) bool { return true })
+		if c == nil {
 			return nil
 		}
-		if least != nil {
-			least.notice(time.Now())
-			least.end()
-		}
+		c.end()
 	}
 	return &conn{front: f, in: jsonline.Lines{Longest: longestLine}, open: map[string]struct{}{}}
 }
 
-func (f *Front) full() bool { return len(f.conns) >= f.most }
+// least is the one of these that is needed least and owes nothing: the longest without a whole request, else the longest
+// idle.
+func (f *Front) least(of func(*conn) bool) (least *conn) {
+	for c := range f.conns {
+		if !c.Owes() && !c.ended && of(c) &&
+			(least == nil || c.asked == least.asked && c.last.Before(least.last) || !c.asked && least.asked) {
+			least = c
+		}
+	}
+	return least
+}
+
+// full tells whether the places of those without a notice are taken.
+func (f *Front) full() bool { return len(f.conns)-f.noticed >= f.most }
 
 // Idle closes connections with nothing open after so long.
 func (f *Front) Idle(after time.Duration) { f.idle = min(max(after, 10*time.Millisecond), silent) }
@@ -97,24 +108,24 @@
 // Owes: what is written leaves with the round.
 func (f *Front) Owes() bool { return false }
 
-// Sweep ends what has been idle, or at half a message, for too long.
+// Sweep gives what has been idle, or at half a message, for too long its notice, and ends it once nothing can cross that
+// any more. A draining instance ends only what brings nothing whole: the others end it themselves.
 func (f *Front) Sweep(now time.Time) {
 	if now.Before(f.next) {
 		return
 	}
 	f.next = now.Add(sweepEvery)
 	for c := range f.conns {
+		stalled := c.stalled(now)
 		switch {
 		case c.ended:
-		case !c.began.IsZero() && now.Sub(c.began) > unasked, !c.asked && now.Sub(c.last) > unasked:
-			c.end()
-		case c.Owes():
-		case !c.noticed.IsZero():
-			if !f.draining && now.Sub(c.noticed) > crossing && now.Sub(c.last) > crossing {
-				c.end()
+		case c.noticed.IsZero():
+			if stalled || !c.Owes() && now.Sub(c.last) > f.idle {
+				c.notice(now)
 			}
-		case now.Sub(c.last) > f.idle:
-			c.notice(now)
+		case now.Sub(c.noticed) <= crossing:
+		case stalled, !f.draining && !c.Owes() && now.Sub(c.last) > crossing:
+			c.end()
 		}
 	}
 	if f.refused > 0 {
