The last answers before the kill end their connections as all answers do

Node turned to Ended in the round that gave the last answers, 60 ms before the kill, and the process closed its sockets over whatever was unread: a reset. Now that round turns to Ending (half-close, drop what comes) and Ended follows 25 ms before the kill. A catalog's socket with an error is replaced: test.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -29,3 +30,26 @@
 		t.Errorf("closed %v, wrote %q", w.Closed, again.Out)
 	}
 }
+
+// A catalog that refuses costs the report that found it away, and no later one: the socket is opened anew for the next.
+func TestSocketWithAnErrorIsReplaced(t *testing.T) {
+	var dialled []*socket
+	r := New("n3", func(p loop.Peer) { dialled = append(dialled, p.(*socket)) })
+	now := time.Now()
+	for n := range 3 {
+		r.Sweep(now, true)
+		if len(dialled) != n+1 {
+			t.Fatalf("dialled %d times after %d errors", len(dialled), n)
+		}
+		w := &aid.Wire{}
+		dialled[n].Opened(w)
+		if r.Sweep(now, true); w.Out != "alive n3 passing" {
+			t.Errorf("wrote %q after %d errors", w.Out, n)
+		}
+		dialled[n].Closed(&loop.Broken{Connected: true, Err: errors.New("connection refused")})
+		if n > 0 {
+			dialled[n-1].Closed(errors.New("once more")) // one that was replaced
+		}
+		now = now.Add(2 * reportEvery)
+	}
+}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -31,15 +31,18 @@
 }
 
 // phase: a draining instance stops listening once its grace is over, nothing comes and nothing is owed, or the kill is
-// near; it ends when what crossed that is answered.
+// near; it ends when what crossed that is answered. What is owed a little before the kill is answered then.
 func (n *Instance) phase() loop.Phase {
 	owes := n.owes()
 	switch {
 	case !n.draining:
 		return loop.Serving
-	case n.now >= n.killAt-lastCall:
+	case n.now >= n.killAt-lastBreath:
 		n.answerRest()
 		return loop.Ended
+	case n.now >= n.killAt-lastCall: // the connections still end as all do, behind the last answers
+		n.answerRest()
+		return loop.Ending
 	case n.closedAt == 0:
 		if n.now < n.killAt-closeBefore && (n.now < n.graceEnd || n.now-n.lastRead <= quietBefore || owes) {
 			return loop.Serving
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,7 +29,8 @@
 	quietBefore = 200 * time.Millisecond // nothing may have come for so long before an early end
 	closeBefore = 300 * time.Millisecond // before the kill: no further connection
 	closeFor    = 100 * time.Millisecond // what crossed the listener's end is answered for so long
-	lastCall    = 60 * time.Millisecond  // before the kill: the end at the latest
+	lastCall    = 60 * time.Millisecond  // before the kill: the last answers
+	lastBreath  = 25 * time.Millisecond  // before the kill: the end at the latest
 	silence     = 60 * time.Millisecond  // a machine of which nothing is heard for so long stands still
 	mostSilence = 105 * time.Millisecond // how late a Tick may be for it
 	wakeGap     = 20 * time.Millisecond  // to the next Tick where the module asked for none
