--- a/internal/front/amqp/fields.go
+++ b/internal/front/amqp/fields.go
@@ -34,17 +34,17 @@
 	for _, w := range []struct {
 		into  *string
 		field string
-	}{{&ask.Band, f.Band}, {&ask.Customer, f.Customer}, {&ask.Receipt, f.Key}, {&ask.Subject, f.Subject}} {
+	}{{&ask.Class, f.Band}, {&ask.Tenant, f.Customer}, {&ask.Key, f.Key}, {&ask.Subject, f.Subject}} {
 		if *w.into, err = word(d, w.field); err != nil {
 			return ask, err
 		}
 	}
-	if ask.Band == "" {
+	if ask.Class == "" {
 		return ask, fmt.Errorf("%s: found nothing, expected a band", f.Band)
 	}
-	switch kind := kind(ask.Band); {
-	case kind == "receipted" && ask.Receipt == "":
-		return ask, fmt.Errorf("%s: found nothing, expected a key, as band %s must not run twice", f.Key, ask.Band)
+	switch kind := kind(ask.Class); {
+	case kind == "receipted" && ask.Key == "":
+		return ask, fmt.Errorf("%s: found nothing, expected a key, as band %s must not run twice", f.Key, ask.Class)
 	case kind == "receipted":
 		ask.Elsewhere = d.Redelivered && q.Redelivered != "run"
 	case kind != "pure": // no key tells a repeat, so nothing but the first delivery proves that it did not run
@@ -54,7 +54,7 @@
 	if err != nil || ask.Rank < 0 || ask.Rank >= 1 || math.IsNaN(ask.Rank) {
 		return ask, fmt.Errorf("%s: expected a number from 0 to under 1", f.Rank)
 	}
-	ask.Patience, err = patience(d, f, now)
+	ask.CallerTimeout, err = patience(d, f, now)
 	return ask, err
 }
 
--- a/internal/front/amqp/fields_test.go
+++ b/internal/front/amqp/fields_test.go
@@ -22,8 +22,8 @@
 	d := &amqp.Delivery{Type: "excursion", MessageId: "k", Expiration: "5000", Timestamp: now.Add(-2 * time.Second), Body: []byte("body"),
 		Headers: amqp.Table{"customer": "acme", "subject": "s1", "rank": float32(0.5)}}
 	ask, err := Decode(d, usual, &operator.Queue{}, now, kindOf)
-	if err != nil || ask.Band != "excursion" || ask.Receipt != "k" || ask.Customer != "acme" || ask.Subject != "s1" ||
-		ask.Rank != 0.5 || ask.Patience != 3*time.Second || string(ask.Body) != "body" || !ask.Came.Equal(now) || ask.Elsewhere {
+	if err != nil || ask.Class != "excursion" || ask.Key != "k" || ask.Tenant != "acme" || ask.Subject != "s1" ||
+		ask.Rank != 0.5 || ask.CallerTimeout != 3*time.Second || string(ask.Body) != "body" || !ask.Came.Equal(now) || ask.Elsewhere {
 		t.Errorf("%+v, %v", ask, err)
 	}
 	other := &operator.Fields{Band: "header:b", Customer: "user-id", Key: "correlation-id", Subject: "app-id", Rank: "priority",
@@ -31,7 +31,7 @@
 	d = &amqp.Delivery{UserId: "acme", CorrelationId: "k", AppId: "s1", Priority: 200,
 		Headers: amqp.Table{"b": "trace", "at": now.UnixMilli() - 500, "ms": int32(1500)}}
 	ask, err = Decode(d, other, &operator.Queue{}, now, kindOf)
-	if err != nil || ask.Band != "trace" || ask.Customer != "acme" || ask.Receipt != "k" || ask.Subject != "s1" || ask.Rank != 0.9 || ask.Patience != time.Second {
+	if err != nil || ask.Class != "trace" || ask.Tenant != "acme" || ask.Key != "k" || ask.Subject != "s1" || ask.Rank != 0.9 || ask.CallerTimeout != time.Second {
 		t.Errorf("%+v, %v", ask, err)
 	}
 }
@@ -45,12 +45,12 @@
 	}{{time.Time{}, time.Second}, {now, time.Second}, {now.Add(time.Hour), time.Second}, {now.Add(-400 * time.Millisecond), 600 * time.Millisecond},
 		{now.Add(-time.Hour), 1}, {time.Unix(-1<<60, 0), 1}} {
 		ask, err := Decode(&amqp.Delivery{Type: "trace", Expiration: "1000", Timestamp: c.origin}, usual, &operator.Queue{}, now, kindOf)
-		if err != nil || ask.Patience != c.want {
-			t.Errorf("from %v: %v, want %v (%v)", c.origin, ask.Patience, c.want, err)
+		if err != nil || ask.CallerTimeout != c.want {
+			t.Errorf("from %v: %v, want %v (%v)", c.origin, ask.CallerTimeout, c.want, err)
 		}
 	}
-	if ask, err := Decode(&amqp.Delivery{Type: "trace"}, usual, &operator.Queue{}, now, kindOf); err != nil || ask.Patience != 0 {
-		t.Errorf("%v, though none is told", ask.Patience)
+	if ask, err := Decode(&amqp.Delivery{Type: "trace"}, usual, &operator.Queue{}, now, kindOf); err != nil || ask.CallerTimeout != 0 {
+		t.Errorf("%v, though none is told", ask.CallerTimeout)
 	}
 }
 
@@ -104,9 +104,9 @@
 		if err != nil {
 			return
 		}
-		if ask.Band == "" || len(ask.Receipt) > longestWord || len(ask.Customer) > longestWord || strings.ContainsAny(ask.Customer, "\r\n\x00") ||
-			!(ask.Rank >= 0 && ask.Rank < 1) || ask.Patience < 0 || ask.Patience > longestSpan || !ask.Elsewhere && kindOf(band) != "pure" ||
-			kindOf(band) == "receipted" && ask.Receipt == "" {
+		if ask.Class == "" || len(ask.Key) > longestWord || len(ask.Tenant) > longestWord || strings.ContainsAny(ask.Tenant, "\r\n\x00") ||
+			!(ask.Rank >= 0 && ask.Rank < 1) || ask.CallerTimeout < 0 || ask.CallerTimeout > longestSpan || !ask.Elsewhere && kindOf(band) != "pure" ||
+			kindOf(band) == "receipted" && ask.Key == "" {
 			t.Errorf("%+v", ask)
 		}
 	})
--- a/internal/front/amqp/front.go
+++ b/internal/front/amqp/front.go
@@ -235,8 +235,8 @@
 	}
 	ask, err := Decode(&m.d, f.told.Fields, m.queue, m.came, f.kind)
 	if err == nil {
-		if ask.Patience > 0 {
-			m.until = m.came.Add(ask.Patience)
+		if ask.CallerTimeout > 0 {
+			m.until = m.came.Add(ask.CallerTimeout)
 		}
 		ask.Rid = f.rid + strconv.Itoa(f.serial) + "-" + strconv.FormatUint(m.tag, 36)
 		err = f.door.Arrive(s, strconv.FormatUint(m.tag, 10), ask)
@@ -256,7 +256,7 @@
 		return
 	}
 	switch a.Kind {
-	case node.Fulfilled:
+	case node.Served:
 		f.counts.Fulfilled++
 		if m.d.ReplyTo == "" {
 			f.settle(m, ack(m.tag))
@@ -264,9 +264,9 @@
 		}
 		m.reply = true
 		f.publish(m, "", m.d.ReplyTo, amqp.Publishing{CorrelationId: m.d.CorrelationId, Body: a.Result, Headers: amqp.Table{endField: "fulfilled"}})
-	case node.TurnedBack:
+	case node.Rejected:
 		f.counts.TurnedBack++
-		m.comeBack = a.ComeBack
+		m.comeBack = a.RetryAfter
 		times := returned(&m.d)
 		switch {
 		case !m.until.IsZero() && time.Until(m.until) <= time.Second/10:
@@ -280,7 +280,7 @@
 		default:
 			f.giveBack(m, times+1)
 		}
-	case node.Scrapped:
+	case node.Failed:
 		f.counts.Scrapped++
 		why := "failed"
 		switch a.Why {
--- a/internal/node/acts.go
+++ b/internal/node/acts.go
@@ -1,4 +1,4 @@
-// This file owns what the module does, as its Host. It must never decide, nor answer a work item twice.
+// This file owns what the module does, as its Host. It must never decide, nor answer a request twice.
 
 package node
 
@@ -17,7 +17,7 @@
 	}
 	it.answered = true
 	if it.asker != nil {
-		if a.Free = n.free; a.Kind == Scrapped {
+		if a.Hint = n.free; a.Kind == Failed {
 			a.Why = it.why
 		}
 		it.asker.Answer(it.tag, a)
@@ -31,13 +31,13 @@
 	}
 }
 
-// Start puts a work item on the cores.
+// Start puts a request on the cores.
 func (n *Instance) Start(w int) {
 	it := &n.items[w]
 	it.started = true
 	if n.runtime.Up() {
 		it.sent = true
-		n.runtime.Start(it.rid, n.site.Bands[it.band], it.body)
+		n.runtime.Start(it.rid, n.site.Bands[it.class], it.body)
 	}
 }
 
@@ -52,12 +52,12 @@
 
 // TurnBack answers what has not run.
 func (n *Instance) TurnBack(w int, comeBack time.Duration, no bool) {
-	n.answer(w, Answer{Kind: TurnedBack, ComeBack: comeBack, No: no})
+	n.answer(w, Answer{Kind: Rejected, RetryAfter: comeBack, Final: no})
 }
 
 // Scrap answers with an error; a call that is out for it is given up.
 func (n *Instance) Scrap(w int) {
-	n.answer(w, Answer{Kind: Scrapped})
+	n.answer(w, Answer{Kind: Failed})
 	n.giveUp(&n.items[w])
 }
 
@@ -73,26 +73,26 @@
 
 func (n *Instance) digest(body []byte) uint64 { return maphash.Bytes(n.digests, body) }
 
-// Record enters the receipt, or moves it to this try.
+// Record enters the key, or moves it to this try.
 func (n *Instance) Record(w int, life time.Duration) {
 	key := n.items[w].key
 	if key == "" {
 		return
 	}
-	r := n.receipts[key]
+	r := n.keys[key]
 	if r == nil || r.over { // an entry past its window must not lend its result to the next
 		n.discard(key)
-		r = &receipt{}
-		n.receipts[key] = r
+		r = &keyEntry{}
+		n.keys[key] = r
 		n.kept += entryBytes
 	}
 	it := &n.items[w]
-	r.w, r.end, r.body, r.band, r.window = w, n.now+life, n.digest(it.body), it.band, n.window(it.band)
+	r.w, r.end, r.body, r.class, r.window = w, n.now+life, n.digest(it.body), it.class, n.window(it.class)
 }
 
-// Forget takes the receipt out.
+// Forget takes the key out.
 func (n *Instance) Forget(w int) {
-	if key := n.items[w].key; n.receipts[key] != nil && n.receipts[key].w == w {
+	if key := n.items[w].key; n.keys[key] != nil && n.keys[key].w == w {
 		n.discard(key)
 	}
 }
@@ -100,16 +100,16 @@
 // Join waits for the forerunner's result.
 func (n *Instance) Join(w int) {
 	it := &n.items[w]
-	r := n.receipts[it.key]
+	r := n.keys[it.key]
 	if r == nil {
-		r = &receipt{over: true}
+		r = &keyEntry{over: true}
 	}
 	if r.over {
 		n.settleJoin(w, r.ok, r.result)
 		return
 	}
-	it.joins = r
-	r.joiners = append(r.joiners, w)
+	it.waitsFor = r
+	r.coalesced = append(r.coalesced, w)
 }
 
 // Health is how checks are answered.
@@ -131,14 +131,14 @@
 // Release is the module's last word on an index.
 func (n *Instance) Release(w int) {
 	it := &n.items[w]
-	if r := n.receipts[it.key]; r != nil && r.w == w {
+	if r := n.keys[it.key]; r != nil && r.w == w {
 		r.w = policy.GoneForerunner
 		if !r.over {
 			n.conclude(r, false, nil)
 		}
 	}
-	if r := it.joins; r != nil {
-		r.joiners = slices.DeleteFunc(r.joiners, func(x int) bool { return x == w })
+	if r := it.waitsFor; r != nil {
+		r.coalesced = slices.DeleteFunc(r.coalesced, func(x int) bool { return x == w })
 	}
 	n.giveUp(it)
 	delete(n.byRid, it.rid)
--- a/internal/node/arrive.go
+++ b/internal/node/arrive.go
@@ -1,4 +1,4 @@
-// This file owns how work comes in: the door, its keys, callers that went, health checks. It must never let an ask in
+// This file owns admission: what comes in, its keys, callers that went, health checks. It must never let an ask in
 // for which a table has no room.
 
 package node
@@ -10,25 +10,25 @@
 	"thymechute/policy"
 )
 
-// Arrive is the door: a work item has been read. An error means that it was not taken in.
+// Arrive is where a request that has been read comes in. An error means that it was not taken in.
 func (n *Instance) Arrive(asker Asker, tag string, ask Ask) error {
-	band, ok := n.bands[ask.Band]
+	class, ok := n.classes[ask.Class]
 	if !ok {
-		return ErrBand
+		return ErrClass
 	}
-	customer, ok := n.clients[ask.Customer]
+	tenant, ok := n.tenants[ask.Tenant]
 	if !ok {
-		if customer = -1; ask.Customer != "" {
-			return ErrCustomer
+		if tenant = -1; ask.Tenant != "" {
+			return ErrTenant
 		}
 	}
 	if _, ok := n.byRid[ask.Rid]; ok {
 		return ErrTwice
 	}
-	key := n.key(band, ask)
-	full := n.kept >= n.room && n.kind(band) == "receipted" && n.receipts[key] == nil
+	key := n.key(class, ask)
+	full := n.kept >= n.room && n.kind(class) == "receipted" && n.keys[key] == nil
 	if n.mod == nil || n.live*itemBytes >= n.room || full { // it never ran
-		asker.Answer(tag, Answer{Kind: TurnedBack, ComeBack: n.pause(), Free: n.free})
+		asker.Answer(tag, Answer{Kind: Rejected, RetryAfter: n.pause(), Hint: n.free})
 		return nil
 	}
 	w := len(n.items)
@@ -37,20 +37,20 @@
 	} else {
 		n.items = append(n.items, item{})
 	}
-	n.items[w] = item{live: true, asker: asker, tag: tag, rid: ask.Rid, band: band, body: ask.Body, key: key}
+	n.items[w] = item{live: true, asker: asker, tag: tag, rid: ask.Rid, class: class, body: ask.Body, key: key}
 	n.byRid[ask.Rid] = w
 	n.live++
-	n.put(func() { n.arrive(w, customer, ask) })
+	n.put(func() { n.arrive(w, tenant, ask) })
 	return nil
 }
 
 // Takes tells whether new work of this class is taken.
 func (n *Instance) Takes(class string) bool {
-	_, ok := n.bands[class]
+	_, ok := n.classes[class]
 	return ok
 }
 
-// pause is the word when to come back with what the instance itself refuses.
+// pause is when to come back with what the instance itself rejects.
 func (n *Instance) pause() time.Duration {
 	if n.site.Told["come_back"] == false {
 		return 0
@@ -58,34 +58,34 @@
 	return min(fullPause, n.span("come_back_s"))
 }
 
-// kind of a band, as the settings tell it.
-func (n *Instance) kind(band int) any { return n.site.Told["band."+strconv.Itoa(band)+".kind"] }
+// kind of a class, as the settings tell it.
+func (n *Instance) kind(class int) any { return n.site.Told["band."+strconv.Itoa(class)+".kind"] }
 
-// key under which a work item's receipt stands; empty: it has none.
-func (n *Instance) key(band int, ask Ask) string {
-	if n.kind(band) == "receipted" && ask.Receipt != "" {
-		return ask.Band + " " + ask.Receipt
+// key under which what is known of a request stands; empty: it has none.
+func (n *Instance) key(class int, ask Ask) string {
+	if n.kind(class) == "receipted" && ask.Key != "" {
+		return ask.Class + " " + ask.Key
 	}
 	return ""
 }
 
-func (n *Instance) arrive(w, customer int, ask Ask) {
+func (n *Instance) arrive(w, tenant int, ask Ask) {
 	it := &n.items[w]
-	kind := n.kind(it.band)
-	work := policy.Work{Band: it.band, Customer: customer, From: ask.From, Repeat: ask.Again, Rank: ask.Rank,
+	kind := n.kind(it.class)
+	work := policy.Work{Band: it.class, Customer: tenant, From: ask.From, Repeat: ask.Again, Rank: ask.Rank,
 		KB: ask.KB, Forerunner: policy.NoForerunner}
 	work.Waited = min(max(time.Since(ask.Came), 0), longestWait)
-	if ask.Patience > 0 { // what is past is the module's to end, and no patience at all would mean that none is told
-		work.Patience = max(ask.Patience-work.Waited, 1)
+	if ask.CallerTimeout > 0 { // what is past is the module's to end, and no patience at all would mean that none is told
+		work.Patience = max(ask.CallerTimeout-work.Waited, 1)
 	}
 	n.lastRead = n.now
-	r := n.receipts[it.key]
+	r := n.keys[it.key]
 	same := func() bool { return r != nil && r.body == n.digest(ask.Body) }
-	switch window := n.window(it.band); {
+	switch window := n.window(it.class); {
 	case it.key != "" && r != nil && (n.now-work.Waited <= r.end || !r.over): // a try in hand outlasts its window
 		if kind == "receipted" && !same() { // not the same request: it must not get that one's result
 			it.why = Conflict
-			n.answer(w, Answer{Kind: Scrapped})
+			n.answer(w, Answer{Kind: Failed})
 			n.Release(w)
 			return
 		}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -68,14 +68,14 @@
 func (n *Instance) answerRest() {
 	refused, failed := 0, 0
 	for w := range n.items {
-		if it := &n.items[w]; it.owed() && !it.started && it.joins == nil {
-			n.answer(w, Answer{Kind: TurnedBack, ComeBack: n.pause()})
+		if it := &n.items[w]; it.owed() && !it.started && it.waitsFor == nil {
+			n.answer(w, Answer{Kind: Rejected, RetryAfter: n.pause()})
 			refused++
 		}
 	}
 	for w := range n.items {
 		if n.items[w].owed() {
-			n.answer(w, Answer{Kind: Scrapped})
+			n.answer(w, Answer{Kind: Failed})
 			failed++
 		}
 	}
--- a/internal/node/ends.go
+++ b/internal/node/ends.go
@@ -1,5 +1,5 @@
 // This file owns what the runtime and what lies below tell: starts, ends, calls, readings. It must never take one for a
-// work item that is not here.
+// request that is not here.
 
 package node
 
@@ -54,7 +54,7 @@
 				continue
 			case it.started && !it.confirmed:
 				it.sent = true
-				n.runtime.Start(it.rid, n.site.Bands[it.band], it.body)
+				n.runtime.Start(it.rid, n.site.Bands[it.class], it.body)
 			}
 			if it.stopped {
 				n.runtime.Stop(it.rid)
@@ -92,24 +92,24 @@
 	n.giveUp(it)
 	switch o {
 	case policy.OK:
-		n.answer(w, Answer{Kind: Fulfilled, Result: result})
+		n.answer(w, Answer{Kind: Served, Result: result})
 	case policy.Cancelled: // the module answers
 	default:
-		n.answer(w, Answer{Kind: Scrapped})
+		n.answer(w, Answer{Kind: Failed})
 	}
-	if r := n.receipts[it.key]; r != nil && r.w == w {
+	if r := n.keys[it.key]; r != nil && r.w == w {
 		n.conclude(r, o == policy.OK, result)
 	}
 	n.mod.Ended(n.now, w, o, took)
 }
 
-// conclude gives a result to who waits for it, and keeps it for as long as the receipt stands.
-func (n *Instance) conclude(r *receipt, ok bool, result []byte) {
+// conclude gives a result to who waits for it, and keeps it for as long as the key stands.
+func (n *Instance) conclude(r *keyEntry, ok bool, result []byte) {
 	r.over = true
-	for _, w := range r.joiners {
+	for _, w := range r.coalesced {
 		n.settleJoin(w, ok, result)
 	}
-	if r.joiners = nil; n.kept+len(result) <= n.room { // else a repeat gets an error
+	if r.coalesced = nil; n.kept+len(result) <= n.room { // else a repeat gets an error
 		r.ok, r.result = ok, result
 		n.kept += len(result)
 	}
@@ -117,9 +117,9 @@
 
 // discard forgets a key.
 func (n *Instance) discard(key string) {
-	if r := n.receipts[key]; r != nil {
+	if r := n.keys[key]; r != nil {
 		n.kept -= entryBytes + len(r.result)
-		delete(n.receipts, key)
+		delete(n.keys, key)
 	}
 }
 
@@ -129,7 +129,7 @@
 		if at, ok := n.byRid[rid]; !ok || at != w {
 			return
 		}
-		n.items[w].joins = nil
+		n.items[w].waitsFor = nil
 		if good {
 			n.ended(w, policy.OK, 0, result)
 		} else {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,9 +1,9 @@
-// Package node is the instance: it keeps the work items that were read, their keys and results, and carries what
-// happens to the decision module and what the module does to the runtime, the index and the callers. It knows work
-// items, not messages: every protocol comes in by the same door (Arrive, Gone, Check) and answers through its own
-// Asker. It must never decide what runs, waits or is turned back, never block, and never be entered from
+// Package node is the instance: it keeps the requests that were read, their keys and results, and carries what
+// happens to the decision module and what the module does to the runtime, the index and the callers. It knows
+// requests, not messages: every protocol comes in by the same admission (Arrive, Gone, Check) and answers through its own
+// Asker. It must never decide what runs, waits or is rejected, never block, and never be entered from
 // another goroutine than the loop's. Its tables: items (a quarter of the memory; emptied by the module's Release),
-// receipts (a quarter; emptied by the module's Forget and by time), inbox and later (emptied each round).
+// keys (a quarter; emptied by the module's Forget and by time), inbox and later (emptied each round).
 package node
 
 import (
@@ -19,12 +19,12 @@
 )
 
 const (
-	itemBytes   = 8 << 10                // of memory that a work item may take, with its body and its call's
-	entryBytes  = 512                    // a receipt, besides its result
+	itemBytes   = 8 << 10                // of memory that a request may take, with its body and its call's
+	entryBytes  = 512                    // an entry for a key, besides its result
 	mostChecks  = 64                     // deep ones at a time
 	fullPause   = 500 * time.Millisecond // where there is no room
-	afterEnd    = 2 * time.Second        // a receipt outlives its end by this, for what is read late
-	sweepEvery  = 500 * time.Millisecond // receipts
+	afterEnd    = 2 * time.Second        // a key outlives its end by this, for what is read late
+	sweepEvery  = 500 * time.Millisecond // keys
 	oldGauges   = 200 * time.Millisecond // readings older than this are not offered
 	quietBefore = 200 * time.Millisecond // nothing may have come for so long before an early end
 	closeBefore = 300 * time.Millisecond // before the kill: no further connection
@@ -39,22 +39,22 @@
 	ageSlack    = 100 * time.Millisecond // the runtime's age comes rounded
 )
 
-// Errors of the door; nothing was taken in.
+// Errors of admission; nothing was taken in.
 var (
-	ErrBand     = errors.New("unknown band")
-	ErrCustomer = errors.New("unknown customer")
-	ErrTwice    = errors.New("id is in use")
+	ErrClass  = errors.New("unknown class")
+	ErrTenant = errors.New("unknown tenant")
+	ErrTwice  = errors.New("id is in use")
 )
 
 type item struct {
 	asker     Asker // nil: nobody waits
 	tag, rid  string
-	band      int
+	class     int
 	body      []byte
-	key       string   // of its receipt; empty: none
-	joins     *receipt // whose result it waits for
-	call      []byte   // body of the call that it stands at
-	give      []byte   // reply to it that no link has taken yet
+	key       string    // of its entry; empty: none
+	waitsFor  *keyEntry // whose result it waits for
+	call      []byte    // body of the call that it stands at
+	give      []byte    // reply to it that no link has taken yet
 	live      bool
 	started   bool // by the module
 	sent      bool // the command was handed to a link
@@ -62,20 +62,20 @@
 	stopped   bool
 	calling   bool
 	answered  bool
-	why       Why // it is scrapped, if it is
+	why       Why // it failed, if it did
 }
 
-// receipt is what is known of a key. It stands until its end, whether or not its try is still here.
-type receipt struct {
-	w       int // of the try that has the entry; policy.GoneForerunner once that is released
-	band    int
-	end     time.Duration
-	window  time.Duration // by which its end counts
-	over    bool          // the run has ended, or never will
-	ok      bool
-	body    uint64 // digest: all tries of one request carry the same body
-	result  []byte
-	joiners []int
+// keyEntry is what is known of a key. It stands until its end, whether or not its try is still here.
+type keyEntry struct {
+	w         int // of the try that has the entry; policy.GoneForerunner once that is released
+	class     int
+	end       time.Duration
+	window    time.Duration // by which its end counts
+	over      bool          // the run has ended, or never will
+	ok        bool
+	body      uint64 // digest: all tries of one request carry the same body
+	result    []byte
+	coalesced []int
 }
 
 // Instance is one server.
@@ -84,28 +84,28 @@
 	site    told.Site
 	seed    uint64
 	stop    time.Duration // from notice to kill
-	room    int           // bytes for items, and as many for receipts
-	kept    int           // of it, taken by receipts
-	bands   map[string]int
-	clients map[string]int
+	room    int           // bytes for items, and as many for keys
+	kept    int           // of it, taken by keys
+	classes map[string]int
+	tenants map[string]int
 	runtime Runtime
 	below   Below
 	fronts  []Front
 	reports Reports
 
-	mod      *policy.Instance // none before the runtime was up once
-	start    time.Time
-	now      time.Duration // of the round
-	items    []item
-	spare    []int
-	live     int
-	byRid    map[string]int
-	receipts map[string]*receipt
-	inbox    []func() // what came since the last round, in order
-	later    []func() // what the module must hear after what it is at
-	checks   map[string]check
-	digests  maphash.Seed
-	tests    int // self-tests asked for so far
+	mod     *policy.Instance // none before the runtime was up once
+	start   time.Time
+	now     time.Duration // of the round
+	items   []item
+	spare   []int
+	live    int
+	byRid   map[string]int
+	keys    map[string]*keyEntry
+	inbox   []func() // what came since the last round, in order
+	later   []func() // what the module must hear after what it is at
+	checks  map[string]check
+	digests maphash.Seed
+	tests   int // self-tests asked for so far
 
 	good, stored     bool
 	free             float64
@@ -130,34 +130,34 @@
 // New makes an instance that waits for its runtime. Its tables follow from the memory it may have.
 func New(site told.Site, seed uint64, stop time.Duration, memory int64, log *zap.Logger) *Instance {
 	n := &Instance{log: log, site: site, seed: seed, stop: stop, room: int(memory / 4), free: -1, start: time.Now(),
-		bands: map[string]int{}, clients: map[string]int{}, byRid: map[string]int{},
-		receipts: map[string]*receipt{}, digests: maphash.MakeSeed(), checks: map[string]check{}, gauges: told.NoReadings}
+		classes: map[string]int{}, tenants: map[string]int{}, byRid: map[string]int{},
+		keys: map[string]*keyEntry{}, digests: maphash.MakeSeed(), checks: map[string]check{}, gauges: told.NoReadings}
 	n.names()
 	return n
 }
 
-// names are what the door takes by the settings in force.
+// names are what admission takes by the settings in force.
 func (n *Instance) names() {
-	clear(n.bands)
-	clear(n.clients)
+	clear(n.classes)
+	clear(n.tenants)
 	for i, name := range n.site.Bands {
 		if n.site.Open(name) {
-			n.bands[name] = i
+			n.classes[name] = i
 		}
 	}
 	for i, name := range n.site.Customers {
-		n.clients[name] = i
+		n.tenants[name] = i
 	}
 }
 
-// Retell puts later settings in force, made by told.Site.Over: indices of bands and customers stay, so that all that
-// is in hand goes on. A receipt is kept for the longer of its two windows.
+// Retell puts later settings in force, made by told.Site.Over: indices of classes and tenants stay, so that all that
+// is in hand goes on. A key is kept for the longer of its two windows.
 func (n *Instance) Retell(site told.Site) {
 	n.put(func() {
 		n.site, n.free = site, -1 // the value in its earlier form must not go on: the module says it anew
 		n.names()
-		for _, r := range n.receipts {
-			if window := n.window(r.band); window > r.window { // once only, however often it goes there and back
+		for _, r := range n.keys {
+			if window := n.window(r.class); window > r.window { // once only, however often it goes there and back
 				r.end, r.window = r.end+window-r.window, window
 			}
 		}
@@ -167,8 +167,8 @@
 	})
 }
 
-func (n *Instance) window(band int) time.Duration {
-	return n.span("band." + strconv.Itoa(band) + ".window_s")
+func (n *Instance) window(class int) time.Duration {
+	return n.span("band." + strconv.Itoa(class) + ".window_s")
 }
 
 // Connect joins the instance to its sides.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -59,7 +59,7 @@
 
 func (reports) Sweep(time.Time, bool) {}
 
-// up is an instance whose runtime is up; bands pure, receipted and effectful.
+// up is an instance whose runtime is up; classes pure, receipted and effectful.
 func up(more map[string]any) (*Instance, *sides) {
 	s := &sides{}
 	n := New(told.Site{Told: aid.Told(more), Bands: []string{"pure", "receipted", "effectful"}}, 7, 3*time.Second, 192<<20, zap.NewNop())
@@ -69,17 +69,17 @@
 	return n, s
 }
 
-// ask reads a work item that came to the machine so long ago.
+// ask reads a request that came to the machine so long ago.
 func (n *Instance) ask(s Asker, rid, band, receipt string, ago time.Duration) {
-	if err := n.Arrive(s, rid, Ask{Rid: rid, Band: band, Receipt: receipt, KB: 1, Came: time.Now().Add(-ago), Body: []byte("x")}); err != nil {
+	if err := n.Arrive(s, rid, Ask{Rid: rid, Class: band, Key: receipt, KB: 1, Came: time.Now().Add(-ago), Body: []byte("x")}); err != nil {
 		panic(err)
 	}
 	n.Round()
 }
 
-// again reads a work item that may have run elsewhere.
+// again reads a request that may have run elsewhere.
 func (n *Instance) again(s Asker, rid, band, receipt, body string) {
-	if err := n.Arrive(s, rid, Ask{Rid: rid, Band: band, Receipt: receipt, KB: 1, Elsewhere: true, Came: time.Now(), Body: []byte(body)}); err != nil {
+	if err := n.Arrive(s, rid, Ask{Rid: rid, Class: band, Key: receipt, KB: 1, Elsewhere: true, Came: time.Now(), Body: []byte(body)}); err != nil {
 		panic(err)
 	}
 	n.Round()
@@ -135,12 +135,12 @@
 	s.wants(t, 1, "answer e 0 four")
 	n.ask(s, "f", "receipted", "three", 0)
 	s.wants(t, 1, "answer f 1")
-	for _, r := range n.receipts {
+	for _, r := range n.keys {
 		r.end = n.now - time.Minute
 	}
 	n.sweep()
-	if n.kept != others || len(n.receipts) != 0 {
-		t.Errorf("%d bytes, %d receipts left", n.kept-others, len(n.receipts))
+	if n.kept != others || len(n.keys) != 0 {
+		t.Errorf("%d bytes, %d receipts left", n.kept-others, len(n.keys))
 	}
 	n.room, n.kept = itemBytes, 0
 	n.ask(s, "g", "pure", "", 0)
@@ -153,7 +153,7 @@
 	n.ask(s, "a", "receipted", "key", 0)
 	n.End("a", policy.OK, 0, []byte("one"))
 	n.Round()
-	r := n.receipts["receipted key"]
+	r := n.keys["receipted key"]
 	r.end = n.now - 50*time.Millisecond // over when the repeat is read, not when it came
 	n.ask(s, "b", "receipted", "key", 100*time.Millisecond)
 	s.wants(t, 1, "answer b 0 one")
@@ -167,11 +167,11 @@
 	n, s := up(nil)
 	n.ask(s, "a", "receipted", "key", 0)
 	n.ask(s, "b", "receipted", "key", 0)
-	n.receipts["receipted key"].end = n.now - 10*afterEnd
+	n.keys["receipted key"].end = n.now - 10*afterEnd
 	n.swept = 0
 	n.Round()
 	n.ask(s, "c", "receipted", "key", 0)
-	if err := n.Arrive(s, "d", Ask{Rid: "d", Band: "receipted", Receipt: "key", KB: 1, Came: time.Now(), Body: []byte("another")}); err != nil {
+	if err := n.Arrive(s, "d", Ask{Rid: "d", Class: "receipted", Key: "key", KB: 1, Came: time.Now(), Body: []byte("another")}); err != nil {
 		t.Fatal(err)
 	}
 	n.Round()
@@ -186,7 +186,7 @@
 	s.wants(t, 1, "start e")
 }
 
-// Of a receipt's two windows the longer holds, whichever settings are in force when the repeat comes.
+// Of a key's two windows the longer holds, whichever settings are in force when the repeat comes.
 func TestReceiptKeepsTheLongerOfItsWindows(t *testing.T) {
 	for _, later := range []float64{90, 1} {
 		n, s := up(nil) // with windows of 10 s
@@ -202,7 +202,7 @@
 		for range 3 { // there, back, and there again
 			n.Retell(site)
 			n.Round()
-			if r := n.receipts["receipted k"]; end == 0 {
+			if r := n.keys["receipted k"]; end == 0 {
 				end = r.end
 			} else if r.end != end {
 				t.Errorf("ends at %v, at %v after the first switch", r.end, end)
@@ -228,7 +228,7 @@
 	n.ask(s, "a", "receipted", "key", 0)
 	n.End("a", policy.OK, 0, []byte("old"))
 	n.Round()
-	n.receipts["receipted key"].end = n.now - time.Second
+	n.keys["receipted key"].end = n.now - time.Second
 	n.ask(s, "b", "receipted", "key", 0)
 	n.ask(s, "c", "receipted", "key", 0)
 	s.wants(t, 1, "start b")
@@ -243,9 +243,9 @@
 	n.ask(s, "a", "receipted", "key", 0)
 	n.End("a", policy.OK, 0, nil)
 	n.Round()
-	n.receipts["receipted key"].end, n.swept = n.now-2*afterEnd, 0
+	n.keys["receipted key"].end, n.swept = n.now-2*afterEnd, 0
 	n.Round()
-	if len(n.receipts) != 0 {
+	if len(n.keys) != 0 {
 		t.Error("the receipt stays")
 	}
 }
@@ -385,7 +385,7 @@
 	n.ask(s, "a", "receipted", "key", 0)
 	n.End("a", policy.OK, 0, []byte("kept"))
 	n.Round()
-	n.receipts["receipted key"].end = n.now - time.Millisecond
+	n.keys["receipted key"].end = n.now - time.Millisecond
 	n.again(s, "b", "receipted", "key", "x")
 	s.wants(t, 1, "answer b 0 kept")
 	n.again(s, "c", "receipted", "key", "another")
@@ -399,7 +399,7 @@
 func TestPatienceThatIsOverIsNotTakenForNone(t *testing.T) {
 	n, s := up(nil)
 	for rid, patience := range map[string]time.Duration{"a": time.Millisecond, "b": time.Minute} {
-		if err := n.Arrive(s, rid, Ask{Rid: rid, Band: "pure", KB: 1, Came: time.Now().Add(-10 * time.Millisecond), Patience: patience}); err != nil {
+		if err := n.Arrive(s, rid, Ask{Rid: rid, Class: "pure", KB: 1, Came: time.Now().Add(-10 * time.Millisecond), CallerTimeout: patience}); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/node/rounds.go
+++ b/internal/node/rounds.go
@@ -88,8 +88,8 @@
 
 func (n *Instance) sweep() {
 	n.swept = n.now + sweepEvery
-	for key, r := range n.receipts {
-		if n.now > r.end+afterEnd && r.w < 0 && len(r.joiners) == 0 {
+	for key, r := range n.keys {
+		if n.now > r.end+afterEnd && r.w < 0 && len(r.coalesced) == 0 {
 			n.discard(key)
 		}
 	}
--- a/internal/node/types.go
+++ b/internal/node/types.go
@@ -7,26 +7,26 @@
 	"time"
 )
 
-// Ask is a work item as a protocol hands it in.
+// Ask is a request as a protocol hands it in.
 type Ask struct {
-	Rid, Band, Customer, Receipt, Subject string
-	Came                                  time.Time     // to this machine
-	Patience                              time.Duration // what its caller still waits from then on; 0: not told
-	From                                  int
-	Again                                 bool
-	Elsewhere                             bool // an earlier try may have run where nothing of it is known here
-	KB, Rank                              float64
-	Body                                  []byte
+	Rid, Class, Tenant, Key, Subject string
+	Came                             time.Time     // to this machine
+	CallerTimeout                    time.Duration // what its caller still waits from then on; 0: not told
+	From                             int
+	Again                            bool
+	Elsewhere                        bool // an earlier try may have run where nothing of it is known here
+	KB, Rank                         float64
+	Body                             []byte
 }
 
-// Kind is what became of a work item.
+// Kind is what became of a request.
 type Kind int
 
 // The final answers.
 const (
-	Fulfilled Kind = iota
-	TurnedBack
-	Scrapped
+	Served Kind = iota
+	Rejected
+	Failed
 )
 
 // Why is the cause of an answer where the instance itself, not the module, knows it.
@@ -41,12 +41,12 @@
 
 // Answer is final.
 type Answer struct {
-	Kind     Kind
-	Why      Why
-	Result   []byte
-	ComeBack time.Duration
-	No       bool    // no other server helps
-	Free     float64 // the free value; negative: none
+	Kind       Kind
+	Why        Why
+	Result     []byte
+	RetryAfter time.Duration
+	Final      bool    // no other server helps
+	Hint       float64 // the free value; negative: none
 }
 
 // Asker takes answers for what came on one connection, by the tags it gave.
@@ -58,7 +58,7 @@
 // Runtime does the work; commands given while it is not Up are given again by the node once it is.
 type Runtime interface {
 	Up() bool
-	Start(rid, band string, body []byte)
+	Start(rid, class string, body []byte)
 	Stop(rid string)
 	Give(rid string, reply []byte)
 	LeaveOut(rid string)
@@ -73,7 +73,7 @@
 	Sweep(now time.Time) time.Time // ends what is over its time; when to come again
 }
 
-// Front is what a protocol's connections are told. Several stand behind the one door.
+// Front is what a protocol's connections are told. Several stand behind one admission.
 type Front interface {
 	Idle(after time.Duration)
 	Drain()
@@ -84,7 +84,7 @@
 // Load is how much of the instance is taken, for a front that may leave work where it is.
 type Load struct {
 	Up          bool // the module is at work and the runtime's link stands
-	Items, Room int  // work items here, and how many may be
+	Items, Room int  // requests here, and how many may be
 }
 
 // Reports go to the catalog.
@@ -92,8 +92,8 @@
 	Sweep(now time.Time, good bool)
 }
 
-// Kind of a band by its name, by the settings in force.
-func (n *Instance) Kind(band string) string { return n.site.Kind(band) }
+// Kind of a class by its name, by the settings in force.
+func (n *Instance) Kind(class string) string { return n.site.Kind(class) }
 
 // Load tells how much is taken now.
 func (n *Instance) Load() Load {
--- a/internal/rpc/answer.go
+++ b/internal/rpc/answer.go
@@ -22,24 +22,24 @@
 
 // AppendAnswer writes the final answer to the request of that id.
 func AppendAnswer(out []byte, id string, a node.Answer) []byte {
-	if a.Kind == node.Fulfilled {
+	if a.Kind == node.Served {
 		out = append(append(append(out, `{"jsonrpc":"2.0","id":`...), id...), `,"result":{"doc":`...)
 		out = jsonline.AppendBytes(out, a.Result)
-		return append(appendFree(out, a.Free), "}}\n"...)
+		return append(appendFree(out, a.Hint), "}}\n"...)
 	}
 	code, text := codeFailed, "failed"
-	if a.Kind == node.TurnedBack {
+	if a.Kind == node.Rejected {
 		code, text = codeRefused, "overloaded"
 	}
 	out = appendError(out, id, code, text)
 	var data []byte
-	if back := math.Ceil(float64(a.ComeBack) / 1e6); a.Kind == node.TurnedBack && back > 0 {
+	if back := math.Ceil(float64(a.RetryAfter) / 1e6); a.Kind == node.Rejected && back > 0 {
 		data = strconv.AppendFloat(append(data, `,"backoff":`...), back, 'f', -1, 64)
 	}
-	if a.Kind == node.TurnedBack && a.No {
+	if a.Kind == node.Rejected && a.Final {
 		data = append(data, `,"final":1`...)
 	}
-	if data = appendFree(data, a.Free); len(data) > 0 {
+	if data = appendFree(data, a.Hint); len(data) > 0 {
 		out = append(append(append(out, `,"data":{`...), data[1:]...), '}')
 	}
 	return append(out, "}}\n"...)
--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -45,7 +45,7 @@
 func (c *conn) Closed(error) {
 	c.forget()
 	if c.Owes() {
-		c.front.door.Gone(c)
+		c.front.admission.Gone(c)
 	}
 }
 
@@ -123,7 +123,7 @@
 
 func (c *conn) take(q Request) error {
 	if q.Note { // nothing is answered to one, and none has a meaning here; but a class or a check wants an answer
-		if q.Ask.Band == methodCheck || c.front.door.Takes(q.Ask.Band) {
+		if q.Ask.Class == methodCheck || c.front.admission.Takes(q.Ask.Class) {
 			return &Fault{codeRequest, errors.New("expected an id")}
 		}
 		return nil
@@ -137,18 +137,18 @@
 	c.asked, c.last = true, time.Now()
 	c.open[q.ID] = struct{}{}
 	if q.Check {
-		c.front.door.Check(c, q.ID, q.Full)
+		c.front.admission.Check(c, q.ID, q.Full)
 		return nil
 	}
-	err := c.front.door.Arrive(c, q.ID, q.Ask)
+	err := c.front.admission.Arrive(c, q.ID, q.Ask)
 	if err == nil {
 		return nil
 	}
 	delete(c.open, q.ID)
 	switch {
-	case errors.Is(err, node.ErrBand):
+	case errors.Is(err, node.ErrClass):
 		return &Fault{codeMethod, err}
-	case errors.Is(err, node.ErrCustomer):
+	case errors.Is(err, node.ErrTenant):
 		return &Fault{codeParams, err}
 	}
 	return &Fault{codeRequest, err}
--- a/internal/rpc/decode.go
+++ b/internal/rpc/decode.go
@@ -73,7 +73,7 @@
 	case err != nil:
 		return q, &Fault{codeRequest, err}
 	case version == "2.0" && method != "" && !named: // what it wants to say is read by its method alone
-		q.Note, q.Ask.Band = true, method
+		q.Note, q.Ask.Class = true, method
 		return q, nil
 	case version != "2.0" || method == "" || q.ID == "":
 		return q, &Fault{codeRequest, errors.New("expected jsonrpc 2.0, a method and an id")}
@@ -81,7 +81,7 @@
 	if q.Check = method == methodCheck; q.Check && params == nil {
 		return q, nil
 	}
-	q.Ask.Band = method
+	q.Ask.Class = method
 	if err := q.params(params); err != nil {
 		return q, &Fault{codeParams, err}
 	}
@@ -116,7 +116,7 @@
 			}
 			a.From = int(x)
 		case "acct":
-			err = word(r, &a.Customer)
+			err = word(r, &a.Tenant)
 		case "again":
 			a.Again, err = r.Flag()
 		case "mem":
@@ -128,7 +128,7 @@
 				err = errors.New("expected 0 to under 1")
 			}
 		case "token":
-			err = word(r, &a.Receipt)
+			err = word(r, &a.Key)
 		case "obj":
 			err = word(r, &a.Subject)
 		case "doc":
--- a/internal/rpc/front.go
+++ b/internal/rpc/front.go
@@ -1,6 +1,6 @@
-// Package rpc is the client stubs' protocol, JSON-RPC 2.0 with one message a line: it turns lines into work items
-// and health checks for the door, and answers back into lines. A Front owns the stubs' connections, their open ids
-// (mostOpen each, emptied by the answer) and their age. It must never decide on a work item, answer a request
+// Package rpc is the client stubs' protocol, JSON-RPC 2.0 with one message a line: it turns lines into requests
+// and health checks for admission, and answers back into lines. A Front owns the stubs' connections, their open ids
+// (mostOpen each, emptied by the answer) and their age. It must never decide on a request, answer a request
 // twice, or let anything that a peer sends reach further than that peer's connection.
 package rpc
 
@@ -32,8 +32,8 @@
 	methodCheck = "check"
 )
 
-// Door is where work items go.
-type Door interface {
+// Admission is where requests go.
+type Admission interface {
 	Takes(class string) bool // such a class is known
 	Arrive(asker node.Asker, tag string, ask node.Ask) error
 	Gone(asker node.Asker)
@@ -42,21 +42,21 @@
 
 // Front owns the stubs' connections.
 type Front struct {
-	door     Door
-	log      *zap.Logger
-	most     int // connections, and so many more that have their notice:
-	spare    int
-	conns    map[*conn]struct{} // not ended, or with a request open
-	noticed  int                // of them, those that have their notice
-	idle     time.Duration
-	draining bool
-	next     time.Time
-	refused  int // connections over the limit since the last line of the log
+	admission Admission
+	log       *zap.Logger
+	most      int // connections, and so many more that have their notice:
+	spare     int
+	conns     map[*conn]struct{} // not ended, or with a request open
+	noticed   int                // of them, those that have their notice
+	idle      time.Duration
+	draining  bool
+	next      time.Time
+	refused   int // connections over the limit since the last line of the log
 }
 
 // NewFront keeps so many connections, and so many spare ones that have their notice.
-func NewFront(door Door, most, spare int, log *zap.Logger) *Front {
-	return &Front{door: door, most: most, spare: spare, log: log, conns: map[*conn]struct{}{}, idle: silent}
+func NewFront(admission Admission, most, spare int, log *zap.Logger) *Front {
+	return &Front{admission: admission, most: most, spare: spare, log: log, conns: map[*conn]struct{}{}, idle: silent}
 }
 
 // Accept makes the peer of a new connection. At the limit the one goes that is needed least: it has its notice, and a
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -22,7 +22,7 @@
 )
 
 func TestDecodeTakesAllFieldsInAnyOrder(t *testing.T) {
-	want := node.Ask{Rid: "9b1f", Band: "excursion", Customer: "acme", Receipt: "5c0f", Subject: "7f3a",
+	want := node.Ask{Rid: "9b1f", Class: "excursion", Tenant: "acme", Key: "5c0f", Subject: "7f3a",
 		Came: time.UnixMilli(came), From: 4, Again: true, KB: 24.5, Rank: 0.625, Body: []byte{0, 255}}
 	turned := `{"params":{"doc":"AP8=","x":[{}],"obj":"7f3a","token":"5c0f","prio":0.6250,"mem":24.5,"again":true,` +
 		`"acct":"ac\u006de","peer":4,"t0":` + fmt.Sprint(came) + `,"rid":"9b1f"},"method":"excursion","more":null,"id":7,"jsonrpc":"2.0"}`
@@ -31,7 +31,7 @@
 		got, body := q.Ask, string(q.Ask.Body)
 		got.Body = nil
 		if err != nil || q.ID != "7" || q.Check || body != string(want.Body) || !got.Came.Equal(want.Came) ||
-			got.Rid != want.Rid || got.Band != want.Band || got.Customer != want.Customer || got.Receipt != want.Receipt ||
+			got.Rid != want.Rid || got.Class != want.Class || got.Tenant != want.Tenant || got.Key != want.Key ||
 			got.Subject != want.Subject || got.From != 4 || !got.Again || got.KB != 24.5 || got.Rank != 0.625 {
 			t.Errorf("%v: %+v", err, q)
 		}
@@ -40,12 +40,12 @@
 
 func TestAnswersSayWhatTheModuleDecided(t *testing.T) {
 	for want, a := range map[string]node.Answer{
-		`{"jsonrpc":"2.0","id":7,"result":{"doc":"AP8=","hint":0.25}}`: {Kind: node.Fulfilled, Result: []byte{0, 255}, Free: 0.25},
-		`{"jsonrpc":"2.0","id":7,"result":{"doc":""}}`:                 {Kind: node.Fulfilled, Free: -1},
+		`{"jsonrpc":"2.0","id":7,"result":{"doc":"AP8=","hint":0.25}}`: {Kind: node.Served, Result: []byte{0, 255}, Hint: 0.25},
+		`{"jsonrpc":"2.0","id":7,"result":{"doc":""}}`:                 {Kind: node.Served, Hint: -1},
 		`{"jsonrpc":"2.0","id":7,"error":{"code":-32001,"message":"overloaded","data":{"backoff":251,"final":1,"hint":0}}}`: {
-			Kind: node.TurnedBack, ComeBack: 250*time.Millisecond + 1, No: true},
+			Kind: node.Rejected, RetryAfter: 250*time.Millisecond + 1, Final: true},
 		`{"jsonrpc":"2.0","id":7,"error":{"code":-32000,"message":"failed"}}`: {
-			Kind: node.Scrapped, ComeBack: time.Second, No: true, Free: -1},
+			Kind: node.Failed, RetryAfter: time.Second, Final: true, Hint: -1},
 	} {
 		got := string(AppendAnswer(nil, "7", a))
 		if got != want+"\n" || !json.Valid([]byte(got)) {
@@ -54,15 +54,15 @@
 	}
 }
 
-type door struct{ asked, gone int }
+type admission struct{ asked, gone int }
 
-func (d *door) Takes(class string) bool                   { return class == "excursion" }
-func (d *door) Arrive(node.Asker, string, node.Ask) error { d.asked++; return nil }
-func (d *door) Gone(node.Asker)                           { d.gone++ }
-func (d *door) Check(node.Asker, string, bool)            {}
+func (d *admission) Takes(class string) bool                   { return class == "excursion" }
+func (d *admission) Arrive(node.Asker, string, node.Ask) error { d.asked++; return nil }
+func (d *admission) Gone(node.Asker)                           { d.gone++ }
+func (d *admission) Check(node.Asker, string, bool)            {}
 
 func TestOnlyConnectionsWithNothingOpenAreClosedAsIdle(t *testing.T) {
-	d := &door{}
+	d := &admission{}
 	f := NewFront(d, 2, 1, zap.NewNop())
 	busy, idle := &aid.Wire{}, &aid.Wire{}
 	one, two := f.Accept(), f.Accept()
@@ -102,7 +102,7 @@
 // At the limit the one that is needed least gets its notice, and what crosses that is taken; only with the spare places
 // taken as well one ends at once, and never one with a request open.
 func TestAtTheLimitTheLeastNeededIsToldFirst(t *testing.T) {
-	d := &door{}
+	d := &admission{}
 	f := NewFront(d, 2, 1, zap.NewNop())
 	open := func() (loop.Caller, *aid.Wire) {
 		p, w := f.Accept(), &aid.Wire{}
@@ -143,7 +143,7 @@
 }
 
 func TestWhoBringsNothingWholeIsClosedSoon(t *testing.T) {
-	f := NewFront(&door{}, 9, 1, zap.NewNop())
+	f := NewFront(&admission{}, 9, 1, zap.NewNop())
 	now := time.Now()
 	for what, part := range map[string]string{"silent": "", "half a request": text[:50], "whole and half": text + "\n" + text[:50], "whole": text + "\n"} {
 		p, w := f.Accept(), &aid.Wire{}
@@ -171,7 +171,7 @@
 }
 
 func TestMoreOpenThanAllowedAreNotTaken(t *testing.T) {
-	d, w := &door{}, &aid.Wire{}
+	d, w := &admission{}, &aid.Wire{}
 	p := NewFront(d, 2, 1, zap.NewNop()).Accept()
 	p.Opened(w)
 	for n := range mostOpen + 1 {
@@ -184,7 +184,7 @@
 	}
 	p.Closed(&loop.Broken{Connected: true, Err: errors.New("reset")})
 	if d.gone != 1 {
-		t.Error("the door was not told that the callers are gone")
+		t.Error("the admission was not told that the callers are gone")
 	}
 }
 
