--- a/cmd/thymechute/ends_test.go
+++ b/cmd/thymechute/ends_test.go
@@ -12,13 +12,13 @@
 	"testing"
 	"time"
 
-	"thymechute/internal/aid"
+	"thymechute/internal/testkit"
 )
 
 // A caller may tell that it is gone by a notification, which has no id: that is no fault, and the other requests of its
 // connection are owed their answers. Seen in the wide variant's short days.
 func TestNotificationCostsNothing(t *testing.T) {
-	w := aid.Serve(t, nil)
+	w := testkit.Serve(t, nil)
 	s := w.Stub()
 	s.Ask(1, "trace", "aa01", body, "")
 	w.Runtime.Command("start")
@@ -35,7 +35,7 @@
 // What can't be answered under an id ends the connection, but not before its open requests have their answers; what stands
 // behind the fault is not run.
 func TestFaultWithoutAnIDEndsBehindTheOpen(t *testing.T) {
-	w := aid.Serve(t, nil)
+	w := testkit.Serve(t, nil)
 	for n, fault := range []string{`{"jsonrpc":"2.0","method":`, `{"jsonrpc":"2.0","method":"trace","params":{}}`, `{"jsonrpc":"2.0","method":"check"}`,
 		`[]`, strings.Repeat("x", 10000)} {
 		rid := fmt.Sprintf("aa%d", n)
@@ -64,7 +64,7 @@
 // Half a line that never gets whole ends the connection; the request open on it is answered first, and the rest of the line
 // comes too late to be run.
 func TestHalfALineEndsBehindTheOpen(t *testing.T) {
-	w := aid.Serve(t, nil)
+	w := testkit.Serve(t, nil)
 	s := w.Stub()
 	s.Ask(1, "seal", "aa01", body, "")
 	w.Runtime.Command("start")
@@ -91,7 +91,7 @@
 
 // A line that takes long to arrive is told closing, and served where its rest crosses that.
 func TestSlowLineThatCrossesItsNoticeIsServed(t *testing.T) {
-	w := aid.Serve(t, nil)
+	w := testkit.Serve(t, nil)
 	s := w.Stub()
 	line := fmt.Sprintf(`{"jsonrpc":"2.0","id":1,"method":"seal","params":{"rid":"aa01","t0":%d,"peer":1,"acct":"acme","mem":10,"prio":0.5,"doc":"AA=="}}`+"\n", time.Now().UnixMilli())
 	for n, part := range []string{line[:40], line[40:]} {
@@ -110,9 +110,9 @@
 
 // At the limit the connection that is needed least makes room; a request that crosses its notice is served on it.
 func TestRequestThatCrossesTheEvictionIsServed(t *testing.T) {
-	w := aid.Serve(t, func(given map[string]any) { given["limits"].(map[string]any)["sockets"] = 64 })
+	w := testkit.Serve(t, func(given map[string]any) { given["limits"].(map[string]any)["sockets"] = 64 })
 	const most = (64 - own) / 8 * stubParts
-	var stubs []*aid.Stub
+	var stubs []*testkit.Stub
 	for range most {
 		s := w.Stub()
 		s.Send(`{"jsonrpc":"2.0","id":1,"method":"check"}`)
@@ -137,7 +137,7 @@
 
 // An idle connection is told closing first; a request that crosses the notice is served on it.
 func TestRequestThatCrossesTheIdleEndIsServed(t *testing.T) {
-	w := aid.Serve(t, func(given map[string]any) {
+	w := testkit.Serve(t, func(given map[string]any) {
 		given["settings"].(map[string]any)["domain"].(map[string]any)["caller_idle_s"] = 4 // a tenth of it, at first
 	})
 	s := w.Stub()
@@ -154,8 +154,8 @@
 // SIGTERM before the runtime is up: what comes is refused, nothing is started when the runtime comes up meanwhile, and a
 // second notice changes nothing.
 func TestDrainBeforeTheRuntimeIsUp(t *testing.T) {
-	w := aid.NewWorld(t, nil)
-	w.Program = aid.Start(t, w.Given)
+	w := testkit.NewWorld(t, nil)
+	w.Program = testkit.Start(t, w.Given)
 	w.Runtime.Accept()
 	s := w.Stub()
 	s.Ask(1, "trace", "aa01", body, "")
@@ -175,7 +175,7 @@
 
 // SIGTERM while a new configuration is read, from a file that does not end: the notice is heard all the same.
 func TestDrainInTheMiddleOfAReload(t *testing.T) {
-	w := aid.NewWorld(t, nil)
+	w := testkit.NewWorld(t, nil)
 	pipe := filepath.Join(t.TempDir(), "config.json")
 	if err := syscall.Mkfifo(pipe, 0o600); err != nil {
 		t.Fatal(err)
@@ -190,7 +190,7 @@
 		return f
 	}
 	go func() { feed().Close() }()
-	w.Program = aid.StartFrom(t, pipe)
+	w.Program = testkit.StartFrom(t, pipe)
 	w.Runtime.Sync(0, "new", 0)
 	s := w.Stub()
 	s.Ask(1, "trace", "aa01", body, "")
@@ -210,7 +210,7 @@
 
 // What is read before the notice is answered, and what comes past the grace is refused and not run.
 func TestDrainRefusesWhatComesPastTheGrace(t *testing.T) {
-	w := aid.Serve(t, func(given map[string]any) {
+	w := testkit.Serve(t, func(given map[string]any) {
 		given["settings"].(map[string]any)["rules"].(map[string]any)["drain_grace_s"] = 0
 	})
 	s, other := w.Stub(), w.Stub()
@@ -242,7 +242,7 @@
 
 // A stub that reads nothing before the end still gets all its answers.
 func TestDrainWaitsForTheSlowReader(t *testing.T) {
-	w := aid.Serve(t, nil)
+	w := testkit.Serve(t, nil)
 	s := w.Stub()
 	large := strings.Repeat("r", 4<<10)
 	for id := 1; id <= 30; id++ {
@@ -256,7 +256,7 @@
 		w.Runtime.End(n, task, "good", large)
 	}
 	w.Program.Term()
-	aid.Eventually(t, "no longer listening", func() bool { return strings.Contains(w.Program.Log(), "no longer listening") })
+	testkit.Eventually(t, "no longer listening", func() bool { return strings.Contains(w.Program.Log(), "no longer listening") })
 	got := 0
 	for got < 30 {
 		if r, closed := s.Read(); closed {
@@ -274,7 +274,7 @@
 // What is still owed shortly before the kill is answered then, and the connection ends behind it as every connection does: no
 // reset, though bytes come up to the last moment.
 func TestAnswersAtTheKillAreNotReset(t *testing.T) {
-	w := aid.Serve(t, nil)
+	w := testkit.Serve(t, nil)
 	s := w.Stub()
 	s.Ask(1, "seal", "aa01", body, "")
 	w.Runtime.Command("start") // and never ends
@@ -296,13 +296,13 @@
 
 // SIGTERM while the program starts, before it has read what it is told: it starts, owes nothing, and ends.
 func TestDrainWhileStarting(t *testing.T) {
-	w := aid.NewWorld(t, nil)
+	w := testkit.NewWorld(t, nil)
 	pipe := filepath.Join(t.TempDir(), "config.json")
 	if err := syscall.Mkfifo(pipe, 0o600); err != nil {
 		t.Fatal(err)
 	}
 	text, _ := json.Marshal(w.Given)
-	w.Program = aid.StartFrom(t, pipe)
+	w.Program = testkit.StartFrom(t, pipe)
 	f, err := os.OpenFile(pipe, os.O_WRONLY, 0) // the program has opened it, and waits
 	if err != nil {
 		t.Fatal(err)
@@ -319,13 +319,13 @@
 // From exec to listed and serving takes well under a second, a thirtieth of what is allowed; also for a process that starts
 // again beside a runtime at work.
 func TestReadySoonAfterExec(t *testing.T) {
-	aid.Built(t)
-	w := aid.NewWorld(t, nil)
+	testkit.Built(t)
+	w := testkit.NewWorld(t, nil)
 	for life, state := range []string{"new", "old"} {
 		began := time.Now()
-		w.Program = aid.Start(t, w.Given)
+		w.Program = testkit.Start(t, w.Given)
 		w.Runtime.Sync(0, state, life*100000)
-		aid.Until(t, w.Words, "a good report", func(word string) bool { return word == "alive n3 passing" })
+		testkit.Until(t, w.Words, "a good report", func(word string) bool { return word == "alive n3 passing" })
 		listed := time.Since(began)
 		s := w.Stub()
 		s.Send(`{"jsonrpc":"2.0","id":1,"method":"check"}`)
@@ -346,7 +346,7 @@
 
 // An answer that breaks off in mid-write costs its own connection: the run counts, and a repeat gets its result, not a run.
 func TestAnswerThatBreaksOffLeavesItsResult(t *testing.T) {
-	w := aid.Serve(t, nil)
+	w := testkit.Serve(t, nil)
 	large := strings.Repeat("r", 4<<10)
 	s := w.Stub()
 	_ = s.Conn.(*net.TCPConn).SetReadBuffer(1 << 10)
@@ -375,8 +375,8 @@
 
 // A catalog that is away for a while hears the next report after it is back, on the same address.
 func TestCatalogThatComesBackHearsReports(t *testing.T) {
-	w := aid.Serve(t, nil)
-	aid.Next(t, w.Words, "a report")
+	w := testkit.Serve(t, nil)
+	testkit.Next(t, w.Words, "a report")
 	address := w.Catalog.LocalAddr().String()
 	w.Catalog.Close()
 	s := w.Stub()
@@ -401,7 +401,7 @@
 // A repeat just before the window's end gets the result, with the same body; with another it is an error. Past the end it is new
 // work. The window counts from the first try, and a repeat from when it came, not from when it was read.
 func TestRepeatsAroundTheWindowsEnd(t *testing.T) {
-	w := aid.Serve(t, func(given map[string]any) {
+	w := testkit.Serve(t, func(given map[string]any) {
 		given["settings"].(map[string]any)["classes"].([]any)[1].(map[string]any)["window_s"] = 1
 	})
 	s := w.Stub()
@@ -438,7 +438,7 @@
 
 // The descriptors of a flood are given back.
 func TestDescriptorsAreGivenBack(t *testing.T) {
-	w := aid.Serve(t, nil)
+	w := testkit.Serve(t, nil)
 	count := func() int {
 		fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", w.Program.Cmd.Process.Pid))
 		if err != nil {
@@ -450,7 +450,7 @@
 	s.Send(`{"jsonrpc":"2.0","id":1,"method":"check"}`)
 	s.Read()
 	before := count()
-	var conns []*aid.Stub
+	var conns []*testkit.Stub
 	for range 150 {
 		conns = append(conns, w.Stub())
 	}
@@ -462,17 +462,17 @@
 			c.Conn.Close()
 		}
 	}
-	aid.Eventually(t, "the descriptors are back", func() bool { return count() <= before })
+	testkit.Eventually(t, "the descriptors are back", func() bool { return count() <= before })
 }
 
 // A link on which nothing comes any more, though it stands, is replaced.
 func TestRuntimeLinkThatFallsSilentIsOpenedAnew(t *testing.T) {
-	w := aid.Serve(t, nil)
+	w := testkit.Serve(t, nil)
 	s := w.Stub()
 	s.Ask(1, "seal", "aa01", body, "")
 	w.Runtime.Command("start")
 	w.Runtime.Mute()
-	w.Runtime.Sync(0, "new", 3000, aid.EndLine(1, "aa01", "good", result))
+	w.Runtime.Sync(0, "new", 3000, testkit.EndLine(1, "aa01", "good", result))
 	s.Wants(1, 0, result)
 	s.Ask(2, "seal", "aa02", body, "")
 	w.Runtime.Until("start", "aa02")
@@ -505,7 +505,7 @@
 		"under a Tick": {"classes": []any{class("u", "by_key", "aim_s", 0.001, "deadline_s", 0.005, "window_s", 0.005)}},
 	} {
 		t.Run(what, func(t *testing.T) {
-			w := aid.Serve(t, func(given map[string]any) { given["settings"] = settings })
+			w := testkit.Serve(t, func(given map[string]any) { given["settings"] = settings })
 			s := w.Stub()
 			go w.Runtime.Obey(1, result)
 			for n, c := range settings["classes"].([]any) {
@@ -544,7 +544,7 @@
 
 // What one caller floods costs that caller alone.
 func TestFloodsCostTheirSenderOnly(t *testing.T) {
-	w := aid.Serve(t, nil)
+	w := testkit.Serve(t, nil)
 	flood := bytes.Repeat([]byte(`{"jsonrpc":"2.0","method":"note"}`+"\n"+`{"jsonrpc":"2.0","id":1,"method":"check"}`+"\n"), 500)
 	for range 4 {
 		c, err := net.Dial("tcp", w.Listen)
--- a/internal/fleet/log/log_test.go
+++ b/internal/fleet/log/log_test.go
@@ -12,10 +12,10 @@
 	"testing"
 	"time"
 
-	"thymechute/internal/aid"
 	"thymechute/internal/decide/owner"
 	"thymechute/internal/decide/voters"
 	"thymechute/internal/fleet/member"
+	"thymechute/internal/testkit"
 )
 
 var (
@@ -161,13 +161,13 @@
 }
 
 type pack struct {
-	*aid.Pack[line]
+	*testkit.Pack[line]
 	t *testing.T
 }
 
 // five starts the processes, each behind its proxies, and waits until all vote.
 func five(t *testing.T) *pack {
-	p := &pack{aid.NewPack(t, 6, 2, func(l *line, name string) { l.name = name }), t}
+	p := &pack{testkit.NewPack(t, 6, 2, func(l *line, name string) { l.name = name }), t}
 	for n := range 5 {
 		more := []string{"PACK_ZONE=z" + fmt.Sprint(n%3)}
 		if n == 0 {
--- a/internal/fleet/rolls/rolls_test.go
+++ b/internal/fleet/rolls/rolls_test.go
@@ -15,12 +15,12 @@
 	"testing"
 	"time"
 
-	"thymechute/internal/aid"
 	"thymechute/internal/decide/owner"
 	"thymechute/internal/decide/roll"
 	"thymechute/internal/decide/voters"
 	"thymechute/internal/fleet/log"
 	"thymechute/internal/fleet/member"
+	"thymechute/internal/testkit"
 )
 
 var (
@@ -178,7 +178,7 @@
 	if err := os.WriteFile(want, nil, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p := aid.NewPack(t, 12, 2, func(l *line, name string) { l.name = name })
+	p := testkit.NewPack(t, 12, 2, func(l *line, name string) { l.name = name })
 	over := make(chan struct{})
 	var installed atomic.Value
 	installed.Store("old")
@@ -238,7 +238,7 @@
 }
 
 // check: who was told to drain was told once; and how many stood ready in each zone at the least.
-func check(t *testing.T, p *aid.Pack[line]) {
+func check(t *testing.T, p *testkit.Pack[line]) {
 	lines := p.Lines()
 	slices.SortStableFunc(lines, func(x, y line) int { return int(x.At - y.At) })
 	told, up, least, rolling := map[string]int{}, map[string]map[string]bool{"0": {}, "1": {}}, 4, false
--- a/internal/fleet/slots/slots_test.go
+++ b/internal/fleet/slots/slots_test.go
@@ -17,12 +17,12 @@
 	"testing"
 	"time"
 
-	"thymechute/internal/aid"
 	"thymechute/internal/decide/owner"
 	"thymechute/internal/decide/ring"
 	"thymechute/internal/decide/voters"
 	"thymechute/internal/fleet/log"
 	"thymechute/internal/fleet/member"
+	"thymechute/internal/testkit"
 )
 
 const keys = 48
@@ -276,7 +276,7 @@
 		}
 	}
 	wants(all[:4]...)
-	p := aid.NewPack(t, octet, 2, func(l *line, name string) { l.name = name })
+	p := testkit.NewPack(t, octet, 2, func(l *line, name string) { l.name = name })
 	for n := range 5 {
 		env := append([]string{"PACK_WANT=" + want}, more...)
 		if n == 0 {
--- a/internal/index/index_test.go
+++ b/internal/index/index_test.go
@@ -9,8 +9,8 @@
 
 	"go.uber.org/zap"
 
-	"thymechute/internal/aid"
 	"thymechute/internal/loop"
+	"thymechute/internal/testkit"
 	"thymechute/policy"
 )
 
@@ -27,8 +27,8 @@
 }
 
 // stand lets the newest connection stand.
-func stand(dialled *[]*conn) (*conn, *aid.Wire) {
-	k, w := (*dialled)[len(*dialled)-1], &aid.Wire{}
+func stand(dialled *[]*conn) (*conn, *testkit.Wire) {
+	k, w := (*dialled)[len(*dialled)-1], &testkit.Wire{}
 	k.Opened(w)
 	return k, w
 }
@@ -142,7 +142,7 @@
 	p.Call("c", time.Second, nil) // on its way when the address changes
 	way := (*dialled)[len(*dialled)-1]
 	p.Move()
-	wWay := &aid.Wire{}
+	wWay := &testkit.Wire{}
 	way.Opened(wWay)
 	now, wNow := stand(dialled)
 	if !wWay.Closed || wWay.Out != "" || now == way || !strings.HasPrefix(wNow.Out, "GET c") {
@@ -166,7 +166,7 @@
 		t.Errorf("%d dialled, %d connections, %d wait", len(*dialled), len(p.conns), len(p.queue))
 	}
 	for _, k := range (*dialled)[4:] {
-		k.Opened(&aid.Wire{})
+		k.Opened(&testkit.Wire{})
 	}
 	p.Move() // all out on the old address: e need not wait for them
 	if len(*dialled) != 9 || len(p.queue) != 0 {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -8,8 +8,8 @@
 
 	"go.uber.org/zap"
 
-	"thymechute/internal/aid"
 	"thymechute/internal/loop"
+	"thymechute/internal/testkit"
 	"thymechute/internal/told"
 	"thymechute/policy"
 )
@@ -62,7 +62,7 @@
 // up is an instance whose runtime is up; classes pure, receipted and effectful.
 func up(more map[string]any) (*Instance, *sides) {
 	s := &sides{}
-	n := New(told.Site{Told: aid.Told(more), Bands: []string{"pure", "receipted", "effectful"}}, 7, 3*time.Second, 192<<20, zap.NewNop())
+	n := New(told.Site{Told: testkit.Told(more), Bands: []string{"pure", "receipted", "effectful"}}, 7, 3*time.Second, 192<<20, zap.NewNop())
 	n.Connect(s, s, reports{}, front{s}, front{s})
 	n.Ready(false, 0, time.Now())
 	n.Round()
@@ -193,7 +193,7 @@
 		n.ask(s, "a", "receipted", "k", 0)
 		n.End("a", policy.OK, time.Millisecond, []byte("r"))
 		n.Round()
-		site, err := n.site.Over(told.Site{Told: aid.Told(map[string]any{"band.1.window_s": later}), Bands: n.site.Bands})
+		site, err := n.site.Over(told.Site{Told: testkit.Told(map[string]any{"band.1.window_s": later}), Bands: n.site.Bands})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -5,12 +5,12 @@
 	"testing"
 	"time"
 
-	"thymechute/internal/aid"
+	"thymechute/internal/testkit"
 )
 
-func fresh(more map[string]any) (*Instance, *aid.Book) {
-	b := &aid.Book{}
-	return New(b, 7, aid.Told(more)), b
+func fresh(more map[string]any) (*Instance, *testkit.Book) {
+	b := &testkit.Book{}
+	return New(b, 7, testkit.Told(more)), b
 }
 
 func of(band int) Work { return Work{Band: band, KB: 10, Forerunner: NoForerunner} }
@@ -258,7 +258,7 @@
 	i, _ := fresh(map[string]any{"calls_share": 0.5, "calls_window_s": 5.0})
 	busy(i, 0, 0)
 	i.AtCall(0, 0)
-	host := &patient{Book: &aid.Book{}}
+	host := &patient{Book: &testkit.Book{}}
 	i.host = host
 	i.Settle(0)
 	if host.patience != 800*ms { // 0.4 of half a call over five seconds, less 0.2 s in which it lingers
@@ -284,7 +284,7 @@
 
 // patient keeps the patience of the last call.
 type patient struct {
-	*aid.Book
+	*testkit.Book
 	now, at, patience time.Duration
 }
 
@@ -362,7 +362,7 @@
 }
 
 func TestAbsurdSettingsDoNoHarm(t *testing.T) {
-	b := &aid.Book{}
+	b := &testkit.Book{}
 	i := New(b, 0, map[string]any{"cores": -1.0, "memory_kb": "x", "band.count": 1e12, "fleet": 0.0})
 	i.Arrived(0, 0, of(0))
 	i.Arrived(0, 1, of(5000))
@@ -511,7 +511,7 @@
 	judged(i, 1, 0)
 	judged(i, 1, 0)
 	learnt := i.bands[1]
-	i.Retold(aid.Told(map[string]any{"run_memory": 8.0, "receipt_kb": 30.0, "free_value": "share_of",
+	i.Retold(testkit.Told(map[string]any{"run_memory": 8.0, "receipt_kb": 30.0, "free_value": "share_of",
 		"band.count": 4.0, "band.1.payoff": 7.0, "band.3.kind": "receipted", "calls_share": 0.5}))
 	if i.memory != 8*10+10+30 || i.callShare != 0.5 || len(i.bands) != 4 || i.bands[3].kind != "receipted" {
 		t.Errorf("memory %v, share %v, %d bands", i.memory, i.callShare, len(i.bands))
@@ -528,7 +528,7 @@
 	i.Settle(50 * ms)
 	i.Ended(90*ms, 1, OK, 40*ms)
 	i.Tick(11*time.Second, Gauges{Busy: -1})
-	i.Retold(aid.Told(more))
+	i.Retold(testkit.Told(more))
 	if i.memory != 0 || len(i.receipts) != 0 {
 		t.Errorf("memory %v, %d receipts left", i.memory, len(i.receipts))
 	}
@@ -687,7 +687,7 @@
 }
 
 func TestNoBandsTold(t *testing.T) {
-	b := &aid.Book{}
+	b := &testkit.Book{}
 	i := New(b, 0, map[string]any{"band.count": 0.0})
 	i.Tick(sweepGap, Gauges{Busy: -1})
 	i.Arrived(sweepGap, 0, of(0))
