--- /dev/null
+++ b/internal/testkit/party.go
@@ -0,0 +1,254 @@
+// This file owns the stand-in that the program dials: the runtime or the index.
+
+package testkit
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Party is a stand-in that the program connects to: the runtime or the index.
+type Party struct {
+	t       *testing.T
+	listen  net.Listener
+	Address string
+	conns   chan net.Conn
+	conn    net.Conn
+	in      *bufio.Reader
+	lines   chan string // of a runtime's link once it is up: all but gauges, which are answered as they come
+	mute    *atomic.Bool
+}
+
+// NewParty listens.
+func NewParty(t *testing.T) *Party {
+	t.Helper()
+	p := &Party{t: t}
+	p.Listen("127.0.0.1:0")
+	t.Cleanup(p.Down)
+	return p
+}
+
+// Listen takes connections at the address; Down refuses them from now on.
+func (p *Party) Listen(address string) {
+	p.t.Helper()
+	var err error
+	if p.listen, err = net.Listen("tcp", address); err != nil {
+		p.t.Fatal(err)
+	}
+	p.Address, p.conns = p.listen.Addr().String(), make(chan net.Conn, 100)
+	go func(l net.Listener, to chan net.Conn) {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			to <- c
+		}
+	}(p.listen, p.conns)
+}
+
+// Down stops listening and ends the connection.
+func (p *Party) Down() {
+	p.listen.Close()
+	if p.conn != nil {
+		p.conn.Close()
+	}
+}
+
+// Accept waits for the next connection, which takes the place of the one before.
+func (p *Party) Accept() {
+	p.t.Helper()
+	p.conn = Next(p.t, p.conns, "a connection to a stand-in")
+	p.in, p.lines, p.mute = bufio.NewReader(p.conn), nil, &atomic.Bool{}
+}
+
+// Break ends the connection.
+func (p *Party) Break() { p.conn.Close() }
+
+// Send writes text as it is.
+func (p *Party) Send(format string, args ...any) {
+	p.t.Helper()
+	if _, err := fmt.Fprintf(p.conn, format, args...); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// Mute lets gauges go unanswered on this link from now on.
+func (p *Party) Mute() { p.mute.Store(true) }
+
+// pump answers the gauges of a link and hands on all else.
+func pump(c net.Conn, in *bufio.Reader, mute *atomic.Bool, to chan<- string) {
+	defer close(to)
+	for {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			return
+		}
+		var m struct{ Verb, Nonce string }
+		if _ = json.Unmarshal([]byte(line), &m); m.Verb != "gauges" {
+			to <- line
+		} else if !mute.Load() {
+			answerGauges(c, m.Nonce)
+		}
+	}
+}
+
+func answerGauges(c net.Conn, nonce string) {
+	_, _ = fmt.Fprintf(c, `{"verb":"load","nonce":%q,"readings":[0.1,0]}`+"\n", nonce)
+}
+
+func (p *Party) line() (string, error) {
+	if p.lines != nil {
+		select {
+		case line, ok := <-p.lines:
+			if !ok {
+				return "", io.EOF
+			}
+			return line, nil
+		case <-time.After(patience):
+			return "", os.ErrDeadlineExceeded
+		}
+	}
+	_ = p.conn.SetReadDeadline(time.Now().Add(patience))
+	return p.in.ReadString('\n')
+}
+
+// Gone waits until the program has closed the connection.
+func (p *Party) Gone() {
+	p.t.Helper()
+	for {
+		if _, err := p.line(); err == io.EOF {
+			return
+		} else if err != nil {
+			p.t.Fatal(err)
+		}
+	}
+}
+
+// Sync takes a link of the program, whose sync must name that notice, and waits until the program is up.
+func (p *Party) Sync(want int, state string, ago int, missed ...string) {
+	p.t.Helper()
+	p.Accept()
+	if m := p.command("sync"); m["index"] != float64(want) {
+		p.t.Fatalf("sync %v, want %d", m["index"], want)
+	}
+	p.Send(`{"verb":"ready","outcome":%q,"spent":%d}`+"\n", state, ago)
+	for _, line := range missed {
+		p.Send("%s\n", line)
+	}
+	p.command("gauges") // comes behind what the program did with the notices
+	_ = p.conn.SetReadDeadline(time.Time{})
+	p.lines = make(chan string, 10000)
+	go pump(p.conn, p.in, p.mute, p.lines)
+}
+
+// Command waits for a command of that verb, and answers the gauges asked for meanwhile.
+func (p *Party) Command(verb string) (task, body string) {
+	p.t.Helper()
+	m := p.command(verb)
+	text, _ := m["bytes"].(string)
+	raw, err := base64.StdEncoding.DecodeString(text)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	task, _ = m["task"].(string)
+	return task, string(raw)
+}
+
+// Until waits for that command for that task, whatever comes before.
+func (p *Party) Until(verb, task string) {
+	p.t.Helper()
+	for {
+		line, err := p.line()
+		if err != nil {
+			p.t.Fatalf("no %s for %s: %v", verb, task, err)
+		}
+		if strings.Contains(line, `"`+verb+`"`) && strings.Contains(line, `"`+task+`"`) {
+			return
+		}
+	}
+}
+
+func (p *Party) command(verb string) map[string]any {
+	p.t.Helper()
+	for end := time.Now().Add(patience); ; {
+		line, err := p.line()
+		if err != nil || time.Now().After(end) {
+			p.t.Fatalf("no %s: %v", verb, err)
+		}
+		var m map[string]any
+		if err := json.Unmarshal([]byte(line), &m); err != nil {
+			p.t.Fatalf("%q: %v", line, err)
+		}
+		if m["verb"] == "gauges" {
+			nonce, _ := m["nonce"].(string)
+			answerGauges(p.conn, nonce)
+		}
+		if m["verb"] == verb {
+			return m
+		}
+		if m["verb"] != "gauges" {
+			p.t.Fatalf("%q came, want %s", line, verb)
+		}
+	}
+}
+
+// End tells the end of a run.
+func (p *Party) End(index int, task, how, result string) {
+	p.t.Helper()
+	p.Send("%s\n", EndLine(index, task, how, result))
+}
+
+// EndLine is the notice of the end of a run.
+func EndLine(index int, task, how, result string) string {
+	return fmt.Sprintf(`{"verb":"end","index":%d,"task":%q,"outcome":%q,"spent":5,"bytes":%q}`,
+		index, task, how, base64.StdEncoding.EncodeToString([]byte(result)))
+}
+
+// Wants tells that a run stands at a call.
+func (p *Party) Wants(index int, task, body string) {
+	p.t.Helper()
+	p.Send(`{"verb":"wants","index":%d,"task":%q,"bytes":%q}`+"\n", index, task, base64.StdEncoding.EncodeToString([]byte(body)))
+}
+
+// Get waits for a call at the index.
+func (p *Party) Get() (rid, body string) {
+	p.t.Helper()
+	line, err := p.line()
+	var ms, size int
+	if _, bad := fmt.Sscanf(line, "GET %s %d %d\r\n", &rid, &ms, &size); err != nil || bad != nil || ms < 1 {
+		p.t.Fatalf("%q came, want a call (%v)", line, err)
+	}
+	b := make([]byte, size+2)
+	if _, err := io.ReadFull(p.in, b); err != nil || !bytes.HasSuffix(b, []byte("\r\n")) {
+		p.t.Fatalf("call cut off: %q %v", b, err)
+	}
+	return rid, string(b[:size])
+}
+
+// Obey runs all that is started, with this result, until the link breaks; its first notice has that number.
+func (p *Party) Obey(first int, result string) {
+	for n := first; ; {
+		line, err := p.line()
+		if err != nil {
+			return
+		}
+		var m struct{ Verb, Task string }
+		if _ = json.Unmarshal([]byte(line), &m); m.Verb == "start" {
+			if _, err = fmt.Fprintln(p.conn, EndLine(n, m.Task, "good", result)); err != nil {
+				return
+			}
+			n++
+		}
+	}
+}
