--- a/cmd/thymechute/amqp_test.go
+++ b/cmd/thymechute/amqp_test.go
@@ -338,8 +338,8 @@
 		reason string
 	}{
 		{broker.Props{}, "type: found nothing, expected a band"},
-		{broker.Props{broker.Type: "colour"}, "unknown band"},
-		{broker.Props{broker.Type: "trace", broker.Headers: broker.Table{"customer": "who"}}, "unknown customer"},
+		{broker.Props{broker.Type: "colour"}, "unknown class"},
+		{broker.Props{broker.Type: "trace", broker.Headers: broker.Table{"customer": "who"}}, "unknown tenant"},
 		{broker.Props{broker.Type: "trace", broker.Headers: broker.Table{"customer": int32(7)}}, "header:customer: expected a text"},
 		{broker.Props{broker.Type: "trace", broker.Headers: broker.Table{"rank": 1.0}}, "header:rank: expected a number"},
 		{broker.Props{broker.Type: "trace", broker.Headers: broker.Table{"rank": "much"}}, "header:rank: expected a number"},
@@ -414,7 +414,7 @@
 	f := feed(t, "", "", nil, "publish:1:refuse", "publish:2:channel-error")
 	f.put("colour", "m", "x")
 	f.seen("requeued", 1)
-	f.dead("m", "unknown band")
+	f.dead("m", "unknown class")
 	f.last(1)
 	if requeued, lost := f.b.Counted("requeued"), f.b.Counted("lost"); requeued != 2 || lost != 0 {
 		t.Errorf("%d given back, %d connections lost: a closed channel must cost its publishes only", requeued, lost)
