raft's connections name the life they want: nobody acknowledges in place of one that ended

Seen: TestARollThroughKillAndAnOwnerThatWakesLate failed in a whole suite beside other work (1 of 2 runs): for 12 s the leader told 'a follower could not be added: found duplicate address' for two members that had started again. Probed by TestNobodyAnswersForTheLifeBefore, which failed (the leader never stepped down): raft finds a server by its address alone, so a process that starts cold where another has voted acknowledged entries, and would have given votes, in the place of the dead life. The dead lives thus kept raft's quorum while internal/decide/voters, which hears members, had lost it: no change could be made for good. Each dial now says in its first line whom it wants and anybody else ends the connection (layer.go, moved out of log.go); an address in the log carries the process, so a new life can follow the log while the old one still stands in it. A member that drains flags it and waits, bounded, until its vote is replaced (Driver.Leave): kill, pause and drain of three voters at once was beyond what five bear. Care's reason no longer hides why nothing is changed.

--- a/internal/fleet/log/driver.go
+++ b/internal/fleet/log/driver.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,7 @@
 	send    chan forward
 	forward func(process string, b []byte) error
 	stop    chan struct{}
+	process string
 	done    sync.WaitGroup
 }
 
@@ -53,7 +55,7 @@
 		return nil, err
 	}
 	d := &Driver{watch: w, lease: lease, start: time.Now(), work: make(chan func(), queued), send: make(chan forward, forwards),
-		forward: send, stop: make(chan struct{})}
+		forward: send, stop: make(chan struct{}), process: c.Process}
 	d.holder = owner.NewHolder(d, table, lease, c.Process, life)
 	if ready != nil {
 		ready(d)
@@ -178,13 +180,26 @@
 // Placed tells this member's turn to claim a duty that comes free.
 func (d *Driver) Placed(duty string, place int) { d.do(func() { d.holder.Placed(duty, place) }) }
 
-// Leave gives up all duties; Stop after it ends the log here.
-func (d *Driver) Leave() {
+// Leave gives up all duties, and waits until the log has replaced this process's vote, for so long at most: one that ends with
+// its vote is a fault that the others have to bear. Its record says before that it leaves. Stop after it ends the log here.
+func (d *Driver) Leave(within time.Duration) {
 	done := make(chan struct{})
 	d.do(func() { d.holder.Leave(d.now()); close(done) })
 	select {
 	case <-done:
 	case <-d.stop:
+		return
+	}
+	look := time.NewTicker(20 * time.Millisecond)
+	defer look.Stop()
+	for over := time.After(within); slices.Contains(d.Log.Voters(), d.process); {
+		select {
+		case <-look.C:
+		case <-over:
+			return
+		case <-d.stop:
+			return
+		}
 	}
 }
 
--- a/internal/fleet/log/lead.go
+++ b/internal/fleet/log/lead.go
@@ -113,7 +113,7 @@
 			at++
 		}
 		if at == len(votes) && !follows[id] && silent == 0 && !s.Leaving && !s.ended {
-			if err := l.raft.AddNonvoter(raft.ServerID(id), raft.ServerAddress(s.Address), 0, changeFor).Error(); err != nil {
+			if err := l.raft.AddNonvoter(raft.ServerID(id), located(s.Address, id), 0, changeFor).Error(); err != nil {
 				failed = "a follower could not be added: " + err.Error() // not to hold up the rest
 			}
 		}
@@ -126,7 +126,7 @@
 	}
 	c := voters.Next(members, votes, learners, false, b)
 	if c.Kind == voters.None && failed != "" {
-		c.Why = failed
+		c.Why += "; " + failed
 	}
 	switch c.Kind {
 	case voters.Learn: // it follows the log already, as all do: it is only chosen
@@ -146,14 +146,19 @@
 
 // change carries one out, and tells in Why if it could not be.
 func (l *Log) change(c voters.Change, address string) voters.Change {
-	var f raft.IndexFuture
+	var err error
 	if c.Kind == voters.Vote {
-		f = l.raft.AddVoter(raft.ServerID(c.Process), raft.ServerAddress(address), 0, changeFor)
+		err = l.vote(c.Process, address)
 	} else {
-		f = l.raft.RemoveServer(raft.ServerID(c.Process), 0, changeFor)
+		err = l.raft.RemoveServer(raft.ServerID(c.Process), 0, changeFor).Error()
 	}
-	if err := f.Error(); err != nil {
+	if err != nil {
 		c.Kind, c.Why = voters.None, c.Why+": "+err.Error()
 	}
 	return c
 }
+
+// vote makes a process a voter.
+func (l *Log) vote(process, address string) error {
+	return l.raft.AddVoter(raft.ServerID(process), located(address, process), 0, changeFor).Error()
+}
--- /dev/null
+++ b/internal/fleet/log/life_test.go
@@ -0,0 +1,51 @@
+package log
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hashicorp/raft"
+
+	"thymechute/internal/decide/owner"
+	"thymechute/internal/testkit"
+)
+
+// still is a Reader that says nothing.
+type still struct{}
+
+func (still) Entry(uint64, owner.Command)   {}
+func (still) Restored(*owner.Table, []byte) {}
+
+// A process that starts cold at an address where another has voted must not vote, nor acknowledge an entry, in its place:
+// the log would count as kept what that vote's life has lost, and one vote could be given twice in a term.
+func TestNobodyAnswersForTheLifeBefore(t *testing.T) {
+	start := func(process, bind string, found bool) *Log {
+		l, err := Start(Config{Process: process, Bind: bind, Found: found, Duties: []string{"ring"}, Beat: 100 * time.Millisecond}, still{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l
+	}
+	at := testkit.FreePort(t, "127.0.60.2")
+	a, b := start("a#1", testkit.FreePort(t, "127.0.60.1"), true), start("b#1", at, false)
+	defer func() { _ = a.Stop() }()
+	testkit.Eventually(t, "a leader", func() bool { return a.raft.State() == raft.Leader })
+	if err := a.vote("b#1", at); err != nil {
+		t.Fatal(err)
+	}
+	if err := a.raft.Barrier(5 * time.Second).Error(); err != nil {
+		t.Fatal(err)
+	}
+	if err := b.Stop(); err != nil {
+		t.Fatal(err)
+	}
+	cold := start("b#2", at, false)
+	defer func() { _ = cold.Stop() }()
+	testkit.Eventually(t, "the leader steps down", func() bool { return a.raft.State() != raft.Leader })
+	if err := a.raft.Barrier(time.Second).Error(); err == nil {
+		t.Error("an entry is agreed though half of the voters have lost their log")
+	}
+	if n := cold.raft.LastIndex(); n != 0 {
+		t.Errorf("the cold process holds %d entries, and nobody made it a follower", n)
+	}
+}
--- a/internal/fleet/log/log.go
+++ b/internal/fleet/log/log.go
@@ -13,7 +13,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -86,7 +85,7 @@
 	rc.LocalID, rc.Logger = raft.ServerID(c.Process), logger
 	rc.HeartbeatTimeout, rc.ElectionTimeout, rc.LeaderLeaseTimeout, rc.CommitTimeout = c.Beat, c.Beat, c.Beat/2, c.Beat/10
 	rc.TrailingLogs, rc.SnapshotThreshold, rc.SnapshotInterval = keepEntries, snapshotEvery, 10*time.Second
-	layer, err := listen(c.Bind, c.Advertise)
+	layer, err := listen(c.Bind, c.Advertise, c.Process)
 	if err != nil {
 		return nil, err
 	}
@@ -207,41 +206,6 @@
 
 func (snapshot) Release() {}
 
-// layer is raft's stream: its dials leave from the bound host, so that the others know whose they are.
-type layer struct {
-	net.Listener
-	advertise net.Addr
-	dialer    net.Dialer
-}
-
-func listen(bind, advertise string) (*layer, error) {
-	l, err := net.Listen("tcp", bind)
-	if err != nil {
-		return nil, fmt.Errorf("log: %w", err)
-	}
-	y := &layer{Listener: l, advertise: l.Addr()}
-	if at, ok := l.Addr().(*net.TCPAddr); ok && !at.IP.IsUnspecified() {
-		y.dialer.LocalAddr = &net.TCPAddr{IP: at.IP}
-	}
-	if advertise != "" {
-		if y.advertise, err = net.ResolveTCPAddr("tcp", advertise); err != nil {
-			l.Close()
-			return nil, fmt.Errorf("log advertise: %w", err)
-		}
-	}
-	return y, nil
-}
-
-// Addr is what the others are told.
-func (y *layer) Addr() net.Addr { return y.advertise }
-
-// Dial implements raft.StreamLayer.
-func (y *layer) Dial(address raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
-	d := y.dialer
-	d.Timeout = timeout
-	return d.Dial("tcp", string(address))
-}
-
 // Voters are the processes that vote, as this one has it.
 func (l *Log) Voters() (out []string) {
 	f := l.raft.GetConfiguration()
--- a/internal/fleet/log/log_test.go
+++ b/internal/fleet/log/log_test.go
@@ -150,7 +150,7 @@
 		}
 	}()
 	_, _ = io.Copy(io.Discard, os.Stdin)
-	t.d.Leave()
+	t.d.Leave(0)
 	time.Sleep(300 * time.Millisecond) // what it proposed goes out; the claim is not on this
 	_ = m.Leave(time.Second)
 	t.d.Stop()
--- a/internal/fleet/rolls/rolls_test.go
+++ b/internal/fleet/rolls/rolls_test.go
@@ -99,7 +99,7 @@
 			}
 		}}, quiet{})
 	fail(err)
-	leaving := make(chan struct{})
+	leaving, flagged := make(chan struct{}), make(chan struct{})
 	known := map[string]roll.Instance{} // all ever heard of: a silent one counts as gone, not as never there
 	h.keeper = New(Config{Name: name, Life: life, Bounds: bounds,
 		Fleet: func() (out []roll.Instance, load map[string]float64) {
@@ -159,14 +159,22 @@
 				applied, record.Applied = now, now
 				_ = m.Set(record)
 			}
+			select {
+			case <-leaving:
+				record.Flag = "leaving"
+				_ = m.Set(record)
+				close(flagged)
+				return
+			default:
+			}
 		}
 	}()
 	h.tell(line{What: "ready", Release: release, Life: life})
 	go func() { _, _ = io.Copy(io.Discard, os.Stdin); os.Exit(0) }()
 	<-leaving
 	h.tell(line{What: "drains", Release: release, Life: life})
-	d.Leave()
-	time.Sleep(200 * time.Millisecond) // what it has in hand
+	<-flagged
+	d.Leave(3 * time.Second)
 	_ = m.Leave(time.Second)
 	d.Stop()
 }
