Tests of ends seen failing without their mends: a slow reader whose answers stand in the program

Mutation runs on a scratch copy: TestDrainWaitsForTheSlowReader passed with loop.owes cut to the listener, as the system took all its answers; its stub now has a small segment and buffer, so they pile up in the program, and it fails. What has joined but was not read: a test of settled.

--- a/cmd/thymechute/ends_test.go
+++ b/cmd/thymechute/ends_test.go
@@ -240,10 +240,10 @@
 	}
 }
 
-// A stub that reads nothing before the end still gets all its answers.
+// A stub that reads nothing before the end still gets all its answers, those too that the system did not take from the program.
 func TestDrainWaitsForTheSlowReader(t *testing.T) {
 	w := testkit.Serve(t, nil)
-	s := w.Stub()
+	s := w.SlowStub()
 	large := strings.Repeat("r", 4<<10)
 	for id := 1; id <= 30; id++ {
 		rid := fmt.Sprintf("aa%d", id)
@@ -257,6 +257,11 @@
 	}
 	w.Program.Term()
 	testkit.Eventually(t, "no longer listening", func() bool { return strings.Contains(w.Program.Log(), "no longer listening") })
+	select {
+	case <-w.Program.Exited:
+		t.Fatal("ended over what nobody has read")
+	case <-time.After(300 * time.Millisecond): // it would end a tenth of a second after
+	}
 	got := 0
 	for got < 30 {
 		if r, closed := s.Read(); closed {
--- a/internal/loop/life_test.go
+++ b/internal/loop/life_test.go
@@ -231,3 +231,14 @@
 		}
 	}
 }
+
+// What has just joined is read once before the end: the poll behind its joining brings what it holds.
+func TestWhatJoinedIsReadBeforeTheEnd(t *testing.T) {
+	l := &Loop{joined: true, queued: true}
+	if l.settled() {
+		t.Error("settled over a connection that nothing was read from yet")
+	}
+	if !l.settled() {
+		t.Error("never settled")
+	}
+}
--- a/internal/testkit/stub.go
+++ b/internal/testkit/stub.go
@@ -9,8 +9,11 @@
 	"fmt"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Stub is a client stub's connection.
@@ -35,6 +38,23 @@
 	}
 }
 
+// SlowStub is one whose connection takes little: what it does not read piles up in the program, not in the system.
+func (w *World) SlowStub() *Stub {
+	w.T.Helper()
+	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4<<10)
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, 1000)
+		})
+	}}
+	c, err := d.Dial("tcp", w.Listen)
+	if err != nil {
+		w.T.Fatal(err)
+	}
+	w.T.Cleanup(func() { c.Close() })
+	return &Stub{w.T, c, bufio.NewReader(c)}
+}
+
 // Send writes a line.
 func (s *Stub) Send(format string, args ...any) {
 	s.t.Helper()
