What crosses the drain notice is listened for without a runtime too; a deep check after it is answered at once

Seen: TestDrainBeforeTheRuntimeIsUp passed with its mend taken out (Ready while draining starts the module), since its request came before the runtime was up: it now waits for that, and fails without. Written so it showed that an instance without a runtime ended its listener in the round of the notice, as nothing read there counts as read (lastRead was set by the module's arrivals alone), and that a deep check after the notice asked the runtime and held up the end until its verdict or 5 s. Both with a test that fails without the mend.

--- a/cmd/thymechute/ends_test.go
+++ b/cmd/thymechute/ends_test.go
@@ -164,6 +164,7 @@
 	s.Closing()
 	w.Program.Term()
 	w.Runtime.Send(`{"verb":"ready","outcome":"old","spent":3600000}` + "\n")
+	testkit.Eventually(t, "the runtime is up", func() bool { return strings.Contains(w.Program.Log(), "runtime link") })
 	s.Ask(2, "trace", "aa02", body, "")
 	s.Wants(2, -32001, "")
 	s.Ends()
--- a/internal/node/arrive.go
+++ b/internal/node/arrive.go
@@ -12,6 +12,7 @@
 
 // Arrive is where a request that has been read comes in. An error means that it was not taken in.
 func (n *Instance) Arrive(asker Asker, tag string, ask Ask) error {
+	n.lastRead = n.now
 	class, ok := n.classes[ask.Class]
 	if !ok {
 		return ErrClass
@@ -78,7 +79,6 @@
 	if ask.CallerTimeout > 0 { // what is past is the module's to end, and no patience at all would mean that none is told
 		work.Patience = max(ask.CallerTimeout-work.Waited, 1)
 	}
-	n.lastRead = n.now
 	r := n.keys[it.key]
 	same := func() bool { return r != nil && r.body == n.digest(ask.Body) }
 	switch window := n.window(it.class); {
@@ -120,7 +120,7 @@
 
 // Check answers a health check, at once or when the runtime has done its work.
 func (n *Instance) Check(asker Asker, tag string, full bool) {
-	if !full || n.stored || n.mod == nil || !n.runtime.Up() || len(n.checks) >= mostChecks {
+	if !full || n.stored || n.draining || n.mod == nil || !n.runtime.Up() || len(n.checks) >= mostChecks {
 		asker.Checked(tag, n.mod != nil && n.good, n.free)
 		return
 	}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -18,7 +18,7 @@
 			return
 		}
 		n.draining = true
-		n.killAt, n.graceEnd = n.now+n.stop, n.now
+		n.killAt, n.graceEnd, n.lastRead = n.now+n.stop, n.now, n.now // what crosses the notice is on its way
 		if n.mod != nil {
 			n.graceEnd += n.span("grace_s")
 			n.mod.Leave(n.now, n.stop)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -426,3 +426,31 @@
 		}
 	}
 }
+
+// A deep check that comes after the notice is answered at once: it must not hold up the end.
+func TestDeepCheckAfterTheNoticeIsAnsweredAtOnce(t *testing.T) {
+	n, s := up(nil)
+	n.stored = false
+	n.Drain()
+	n.Round()
+	n.Check(s, "1", true)
+	s.wants(t, 1, "checked 1 false")
+	s.wants(t, 0, "test")
+}
+
+// What comes within a moment of the notice is still listened for, also where there is no grace and no runtime yet.
+func TestWhatCrossesTheNoticeIsListenedFor(t *testing.T) {
+	s := &sides{}
+	n := New(told.Site{Told: testkit.Told(nil), Bands: []string{"pure", "receipted", "effectful"}}, 7, 3*time.Second, 192<<20, zap.NewNop())
+	n.Connect(s, s, reports{}, front{s})
+	n.start = n.start.Add(-time.Minute)
+	n.Round()
+	n.Drain()
+	if _, phase := n.Round(); phase != loop.Serving {
+		t.Errorf("phase %v at the notice", phase)
+	}
+	n.start = n.start.Add(-2 * quietBefore)
+	if _, phase := n.Round(); phase != loop.Unlisting {
+		t.Errorf("phase %v when nothing comes any more", phase)
+	}
+}
