Deep checks after the notice: the condition was not needed, the module answers them itself by then

Its test passed with the condition taken out: at the notice the module says stored, so that no check asks the runtime.

--- a/internal/node/arrive.go
+++ b/internal/node/arrive.go
@@ -120,7 +120,7 @@
 
 // Check answers a health check, at once or when the runtime has done its work.
 func (n *Instance) Check(asker Asker, tag string, full bool) {
-	if !full || n.stored || n.draining || n.mod == nil || !n.runtime.Up() || len(n.checks) >= mostChecks {
+	if !full || n.stored || n.mod == nil || !n.runtime.Up() || len(n.checks) >= mostChecks {
 		asker.Checked(tag, n.mod != nil && n.good, n.free)
 		return
 	}
