--- /dev/null
+++ b/cmd/thymechute/agreed.go
@@ -0,0 +1,155 @@
+// The agreed log of one instance, where the operator's file has one under fleet: this file owns starting it, founding it,
+// what of it goes to the program's log and to the member's record, and its end. It must never decide what an entry means,
+// and never touch the loop or the module.
+
+package main
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"thymechute/internal/decide/owner"
+	"thymechute/internal/decide/voters"
+	"thymechute/internal/fleet/log"
+	"thymechute/internal/fleet/member"
+	"thymechute/internal/operator"
+)
+
+const (
+	drift      = 0.01                   // by which a clock may run fast or slow
+	foundFor   = time.Minute            // of the told time, in which a start founds the log
+	foundAfter = 2 * time.Second        // in the fleet: who has a log is in the view by then
+	tellEvery  = 250 * time.Millisecond // how far the log was applied, to the others
+	tellLag    = 16                     // entries that need not be told: a follower has caught up from 64 behind on
+)
+
+// duties are those that the log grants, the same in all members of a build; a member's turn to claim the n-th is n after
+// its turn for the first, so that they are spread.
+var duties = []string{"ring", "roll"}
+
+// agreed is this process's end of the log; nil where there is none.
+type agreed struct {
+	log     *zap.Logger
+	member  *member.Member
+	process string
+	driver  atomic.Pointer[log.Driver]
+	founds  time.Time // when it may found the log; zero: it may not
+	leader  string    // last told; the fleet's goroutine alone
+}
+
+// newAgreed prepares it: the record names this life and where its log is reached.
+func newAgreed(o *operator.Log, own *member.Record, name string, zlog *zap.Logger) *agreed {
+	a := &agreed{log: zlog, process: fmt.Sprintf("%s#%x", name, own.Epoch)}
+	if own.Process, own.Log = a.process, o.Advertise; o.Advertise == "" {
+		own.Log = o.Bind
+	}
+	if now := time.Now(); !o.FoundAt.IsZero() && now.Sub(o.FoundAt).Abs() < foundFor {
+		a.founds = now.Add(foundAfter)
+	}
+	return a
+}
+
+// start begins to follow the log. Errors: an address that can't be bound.
+func (a *agreed) start(o *operator.Log, m *member.Member, life uint64) error {
+	a.member = m
+	length := time.Duration(o.LeaseMS) * time.Millisecond
+	lease := owner.Lease{Length: length, Drift: drift, Margin: length / 50}
+	send := func(process string, b []byte) error { return m.Send(process[:strings.LastIndexByte(process, '#')], b) }
+	d, err := log.Drive(log.Config{Process: a.process, Bind: o.Bind, Advertise: o.Advertise, Duties: duties, Beat: length * 3 / 10},
+		lease, life, a, send, nil)
+	if err != nil {
+		return err
+	}
+	a.driver.Store(d)
+	d.Care(a.peers, voters.Bounds{Most: o.Voters, Settle: length, HoldDown: 2 * length}, a.changed)
+	return nil
+}
+
+// incoming is another member's message, on memberlist's goroutine; safe on nil and before the start.
+func (a *agreed) incoming(b []byte) {
+	if a == nil {
+		return
+	}
+	if d := a.driver.Load(); d != nil {
+		d.Incoming(b)
+	}
+}
+
+func (a *agreed) peers() (out []log.Peer) {
+	for _, r := range a.member.View() {
+		out = append(out, log.Peer{Process: r.Process, Address: r.Log, Zone: r.Zone, Applied: r.Applied, Leaving: r.Flag == "leaving"})
+	}
+	return out
+}
+
+// changed is told at the leader: each change of who votes, and each new reason for none.
+func (a *agreed) changed(c voters.Change) {
+	switch {
+	case c.Kind != voters.None:
+		words := map[voters.Kind]string{voters.Learn: "chosen to vote", voters.Vote: "votes", voters.Drop: "dropped"}
+		a.log.Info("fleet log: member "+words[c.Kind], zap.String("process", c.Process), zap.String("why", c.Why))
+	case strings.HasPrefix(c.Why, "quorum lost"):
+		a.log.Warn("fleet log: nothing new is decided", zap.String("why", c.Why))
+	}
+}
+
+// keep founds the log once it is time, notes who leads, and tells in the record how far it has been applied; it returns
+// whether the record changed.
+func (a *agreed) keep(own *member.Record) bool {
+	d := a.driver.Load()
+	if !a.founds.IsZero() && time.Now().After(a.founds) {
+		a.founds = time.Time{}
+		a.found(d)
+	}
+	if leader, _ := d.Log.Leader(); leader != a.leader {
+		if a.leader = leader; leader == "" {
+			a.log.Warn("fleet log: no leader")
+		} else {
+			a.log.Info("fleet log: leader", zap.String("process", leader))
+		}
+	}
+	applied, _ := d.Log.Applied()
+	if applied < own.Applied+tellLag && (own.Applied > 0 || applied == 0) {
+		return false
+	}
+	own.Applied = applied
+	return true
+}
+
+// found begins the log here, unless somebody in the fleet has one.
+func (a *agreed) found(d *log.Driver) {
+	for _, r := range a.member.View() {
+		if r.Applied > 0 && r.Process != a.process {
+			a.log.Warn("fleet log: not founded, one is there", zap.String("member", r.Name))
+			return
+		}
+	}
+	if err := d.Log.Found(); err != nil {
+		a.log.Warn("fleet log: not founded", zap.Error(err))
+		return
+	}
+	a.log.Info("fleet log: founded", zap.String("process", a.process))
+}
+
+// placed says when it is this member's turn to claim.
+func (a *agreed) placed(rank int) {
+	for n, duty := range duties {
+		a.driver.Load().Placed(duty, rank+n)
+	}
+}
+
+// The Watcher of the log, on the driver's goroutine.
+
+func (a *agreed) Held(duty string, token uint64) {
+	a.log.Info("fleet log: duty held", zap.String("duty", duty), zap.Uint64("token", token))
+}
+
+func (a *agreed) Lost(duty string) { a.log.Info("fleet log: duty lost", zap.String("duty", duty)) }
+
+func (a *agreed) Entry(uint64, owner.Command, owner.Outcome) {}
+func (a *agreed) Restored([]byte)                            {}
+func (a *agreed) Tick(time.Duration)                         {}
--- a/cmd/thymechute/fleet.go
+++ b/cmd/thymechute/fleet.go
@@ -1,10 +1,12 @@
 // The fleet of one instance, where the operator's file has one: this file owns starting the member, what of the
-// view goes to the log, and claiming a rank. It must never decide admission, and never call the member from inside
+// view goes to the log, and keeping its record: its rank, how far the agreed log was applied. It must never decide admission, and never call the member from inside
 // memberlist's callbacks (they hold its lock): claims go through one goroutine of their own.
 
 package main
 
 import (
+	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -69,15 +71,21 @@
 	}
 }
 
-// fleet is a running member and its claimer; nil where the file has no fleet.
+// fleet is a running member, the goroutine that keeps its record, and its end of the agreed log; nil where the file has no
+// fleet.
 type fleet struct {
 	member *member.Member
+	agreed *agreed
+	own    member.Record // the keeping goroutine's until kept is closed
+	within time.Duration // each step of leaving
 	done   chan struct{}
+	kept   chan struct{}
 	once   sync.Once
 }
 
-// startFleet joins the fleet as the file says. Errors: the address can't be bound, the settings don't fit.
-func startFleet(name string, o *operator.Fleet, log *zap.Logger) (*fleet, error) {
+// startFleet joins the fleet as the file says; stop is from the notice to the kill. Errors: an address can't be bound, the
+// settings don't fit.
+func startFleet(name string, o *operator.Fleet, stop time.Duration, log *zap.Logger) (*fleet, error) {
 	if o == nil {
 		return nil, nil
 	}
@@ -86,24 +94,47 @@
 		seeds[i] = s.Address
 	}
 	watch := &fleetLog{log: log, changed: make(chan struct{}, 1), named: map[string]bool{}}
-	own := member.Record{Zone: o.Zone, Rank: -1, Epoch: uint64(time.Now().UnixMilli())}
-	m, err := member.Start(member.Config{Name: name, Bind: o.Bind, Advertise: o.Advertise, Seeds: seeds, Most: o.Most, Record: own,
-		Probe: time.Duration(o.ProbeMS) * time.Millisecond, Sync: time.Duration(o.SyncMS) * time.Millisecond}, watch)
+	f := &fleet{own: member.Record{Zone: o.Zone, Rank: -1, Epoch: uint64(time.Now().UnixMilli())},
+		within: min(stop/3, time.Second), done: make(chan struct{}), kept: make(chan struct{})}
+	if o.Log != nil {
+		f.agreed = newAgreed(o.Log, &f.own, name, log)
+	}
+	var err error
+	f.member, err = member.Start(member.Config{Name: name, Bind: o.Bind, Advertise: o.Advertise, Seeds: seeds, Most: o.Most, Record: f.own,
+		Probe: time.Duration(o.ProbeMS) * time.Millisecond, Sync: time.Duration(o.SyncMS) * time.Millisecond, Message: f.agreed.incoming}, watch)
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{member: m, done: make(chan struct{})}
-	go f.claim(name, own, watch, log)
+	if f.agreed != nil {
+		if err := f.agreed.start(o.Log, f.member, f.own.Epoch); err != nil {
+			return nil, errors.Join(err, f.member.Leave(f.within))
+		}
+	}
+	go f.keep(name, watch, log)
 	log.Info("fleet joined", zap.String("bind", o.Bind), zap.Strings("seeds", seeds), zap.String("zone", o.Zone))
 	return f, nil
 }
 
-// claim settles the ranks after each change of the view and claims its own where it moved.
-func (f *fleet) claim(name string, own member.Record, watch *fleetLog, log *zap.Logger) {
+// keep settles the ranks after each change of the view and claims its own where it moved; where there is an agreed log it
+// also looks after that, now and then.
+func (f *fleet) keep(name string, watch *fleetLog, log *zap.Logger) {
+	defer close(f.kept)
+	own, told := &f.own, ""
+	var tell <-chan time.Time
+	if f.agreed != nil {
+		t := time.NewTicker(tellEvery)
+		defer t.Stop()
+		tell = t.C
+	}
 	for {
 		select {
 		case <-f.done:
 			return
+		case <-tell:
+			if f.agreed.keep(own) {
+				_ = f.member.Set(*own) // not heard: the next time tells more
+			}
+			continue
 		case <-watch.changed:
 		}
 		view := f.member.View()
@@ -114,16 +145,22 @@
 		rank, ok := subset.Rank(claims)[name]
 		if ok && rank != own.Rank {
 			own.Rank = rank
-			if err := f.member.Set(own); err != nil {
+			if err := f.member.Set(*own); err != nil {
 				log.Warn("rank not claimed", zap.Error(err))
 			}
+			if f.agreed != nil {
+				f.agreed.placed(rank)
+			}
 		}
 		names := ""
 		if len(view) <= mostViewNamed {
 			list := slices.Sorted(maps.Keys(view))
 			names = strings.Join(list, ",")
 		}
-		log.Info("fleet view", zap.Int("rank", own.Rank), zap.Int("members", len(view)), zap.String("names", names))
+		if now := fmt.Sprint(own.Rank, len(view), names); now != told { // what else changed in a record is not the view's
+			told = now
+			log.Info("fleet view", zap.Int("rank", own.Rank), zap.Int("members", len(view)), zap.String("names", names))
+		}
 		select {
 		case <-f.done:
 			return
@@ -132,16 +169,26 @@
 	}
 }
 
-// leave tells the others, once, within a second; the instance goes on answering what it has read. Safe on nil.
+// leave tells the others, once, each step within a third of the time to the kill and a second; the instance goes on answering
+// what it has read. With an agreed log it first hands on its duties and its vote. Safe on nil.
 func (f *fleet) leave(log *zap.Logger) {
 	if f == nil {
 		return
 	}
 	f.once.Do(func() {
 		close(f.done)
-		if err := f.member.Leave(time.Second); err != nil {
+		<-f.kept
+		if f.agreed != nil {
+			f.own.Flag = "leaving"
+			_ = f.member.Set(f.own)
+			f.agreed.driver.Load().Leave(f.within)
+		}
+		if err := f.member.Leave(f.within); err != nil {
 			log.Warn("fleet left with an error", zap.Error(err))
 		}
+		if f.agreed != nil {
+			f.agreed.driver.Load().Stop()
+		}
 		log.Info("fleet left")
 	})
 }
--- a/cmd/thymechute/serve.go
+++ b/cmd/thymechute/serve.go
@@ -63,7 +63,7 @@
 	defer out.close()
 	log := newLog(g.Name, out)
 
-	fl, err := startFleet(g.Name, o.Fleet, log)
+	fl, err := startFleet(g.Name, o.Fleet, g.Stop, log)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/log/log.go
+++ b/internal/fleet/log/log.go
@@ -58,6 +58,7 @@
 // Log is one process's end of it.
 type Log struct {
 	raft   *raft.Raft
+	self   raft.Server
 	stores *raft.InmemStore
 	reader Reader
 	table  *owner.Table // for snapshots, and the machine; raft's goroutine alone
@@ -92,20 +93,28 @@
 	l := &Log{reader: r, table: table, more: c.Machine, stores: raft.NewInmemStore()}
 	snapshots := raft.NewInmemSnapshotStore()
 	transport := raft.NewNetworkTransportWithLogger(layer, connections, dialFor, logger)
-	if c.Found {
-		first := raft.Configuration{Servers: []raft.Server{{ID: rc.LocalID, Address: transport.LocalAddr()}}}
-		if err := raft.BootstrapCluster(rc, l.stores, l.stores, snapshots, transport, first); err != nil {
-			_ = transport.Close()
-			return nil, fmt.Errorf("log: %w", err)
-		}
-	}
+	l.self = raft.Server{ID: rc.LocalID, Address: transport.LocalAddr()}
 	if l.raft, err = raft.NewRaft(rc, machine{l}, l.stores, l.stores, snapshots, transport); err != nil {
 		_ = transport.Close()
 		return nil, fmt.Errorf("log: %w", err)
 	}
+	if c.Found {
+		if err := l.Found(); err != nil {
+			return nil, errors.Join(err, l.Stop())
+		}
+	}
 	return l, nil
 }
 
+// Found begins a log with this process alone: once in a fleet's life, never again. It fails where this process has already
+// been taken into one.
+func (l *Log) Found() error {
+	if err := l.raft.BootstrapCluster(raft.Configuration{Servers: []raft.Server{l.self}}).Error(); err != nil {
+		return fmt.Errorf("log: %w", err)
+	}
+	return nil
+}
+
 // Propose puts a command into the log where this process leads; ErrNotLeader elsewhere. It does not wait: what comes of
 // it comes back by the Reader, or never.
 func (l *Log) Propose(c owner.Command) error {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -13,6 +13,7 @@
 	"reflect"
 	"strconv"
 	"strings"
+	"time"
 
 	"thymechute/deploy"
 	"thymechute/internal/xsd"
@@ -36,6 +37,19 @@
 	Most      int      `xml:"most,attr"`
 	ProbeMS   int      `xml:"probe-ms,attr"`
 	SyncMS    int      `xml:"sync-ms,attr"`
+	Log       *Log     `xml:"log"`
+}
+
+// Log is the fleet's agreed log (internal/fleet/log).
+type Log struct {
+	Line      int    `xml:"-"`
+	Bind      string `xml:"bind,attr"`
+	Advertise string `xml:"advertise,attr"`
+	Voters    int    `xml:"voters,attr"`
+	LeaseMS   int    `xml:"lease-ms,attr"`
+	Found     string `xml:"found,attr"`
+
+	FoundAt time.Time `xml:"-"` // from Found; zero: this member founds none
 }
 
 // AMQP is work taken from a message broker.
@@ -138,6 +152,11 @@
 			return nil, err
 		}
 	}
+	if f.Fleet != nil && f.Fleet.Log != nil {
+		if err := f.Fleet.Log.check(); err != nil {
+			return nil, err
+		}
+	}
 	return f, nil
 }
 
@@ -231,6 +250,20 @@
 	return a.TLS.read(a)
 }
 
+// check says what no schema can.
+func (l *Log) check() (err error) {
+	if l.Voters%2 == 0 {
+		return &xsd.Fault{Line: l.Line, Element: "log", Found: fmt.Sprintf("voters=%q", strconv.Itoa(l.Voters)), Want: "3 or 5"}
+	}
+	if l.Found == "" {
+		return nil
+	}
+	if l.FoundAt, err = time.Parse(time.RFC3339, l.Found); err != nil {
+		return &xsd.Fault{Line: l.Line, Element: "log", Found: fmt.Sprintf("found=%q", l.Found), Want: "a time as 2026-12-02T03:04:05Z"}
+	}
+	return nil
+}
+
 // Typed is the value as its type says.
 func (g Argument) Typed() (any, error) {
 	switch g.Type {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -129,3 +129,29 @@
 		t.Fatalf("a view of no members: %v", err)
 	}
 }
+
+func TestLogOfTheFleetIsReadAndChecked(t *testing.T) {
+	with := func(attributes string) string {
+		return head + `<fleet bind="127.0.0.1:7946"><log bind="127.0.0.1:7947"` + attributes + `/></fleet>` + tail
+	}
+	f, err := Read([]byte(with("")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l := f.Fleet.Log; l == nil || l.Bind != "127.0.0.1:7947" || l.Voters != 5 || l.LeaseMS != 2000 || !l.FoundAt.IsZero() {
+		t.Errorf("%+v", f.Fleet.Log)
+	}
+	if f, err = Read([]byte(with(` found="2026-12-02T03:04:05+01:00"`))); err != nil || f.Fleet.Log.FoundAt.Unix() != 1796177045 {
+		t.Errorf("%+v, %v", f.Fleet.Log, err)
+	}
+	for attributes, want := range map[string]string{
+		` voters="4"`:     `line 2, log: found voters="4", expected 3 or 5`,
+		` voters="7"`:     `line 2, log: found voters="7"`,
+		` lease-ms="10"`:  `line 2, log: found lease-ms="10"`,
+		` found="always"`: `line 2, log: found found="always", expected a time as`,
+	} {
+		if _, err := Read([]byte(with(attributes))); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, want %q", attributes, err, want)
+		}
+	}
+}
