--- a/internal/loop/life_test.go
+++ b/internal/loop/life_test.go
@@ -137,7 +137,7 @@
 func TestPeerThatDoesNotReadGetsWhatIsOwed(t *testing.T) {
 	s := start(t, false)
 	s.smallBuffers()
-	c, e := s.owing(4 << 10, "abc")
+	c, e := s.owing(4<<10, "abc")
 	answer := bytes.Repeat([]byte("x"), mostUnsent+(64<<10))
 	s.on(func() { e.wire.Write(answer) })
 	s.await(func() bool { return e.wire.(*conn).state == draining })
