Scale: the frame of the measurements, a model fitted to points at four sizes or more

The frame fits constant, log n, n or n^2 by the sizes but the largest, predicts the largest and tells the error, then works out the target size; a series over its bound says so. internal/lab/scale has the frame, thymelab run scale the command; no part stands yet.

--- /dev/null
+++ b/cmd/thymelab/scale.go
@@ -0,0 +1,90 @@
+// This file owns the command of the scale measurements: their parts, and the report of each.
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"thymechute/internal/lab/scale"
+)
+
+// scaleParts are the measurements, in the order in which they run.
+var scaleParts = []scale.Part{}
+
+const scaleTime = 15 * time.Minute // of one part, at the most
+
+func runScale() *cobra.Command {
+	var part string
+	var seed uint64
+	var asJSON bool
+	c := &cobra.Command{Use: "scale", Short: "How each role's state, messages, time and memory grow, and what that makes at 1,200 instances",
+		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+			parts, err := chosenParts(part)
+			if err != nil {
+				return faulty{err}
+			}
+			for _, p := range parts {
+				if err := runPart(c, p, seed, asJSON); err != nil {
+					return err
+				}
+			}
+			return nil
+		}}
+	c.Flags().StringVar(&part, "part", "", "one part only: "+partNames())
+	c.Flags().Uint64Var(&seed, "seed", 1, "of the faults' places and the instances")
+	c.Flags().BoolVar(&asJSON, "json", false, "print one object a part")
+	return c
+}
+
+func runPart(c *cobra.Command, part scale.Part, seed uint64, asJSON bool) error {
+	folder, err := os.MkdirTemp("", "thymelab")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(folder)
+	ctx, cancel := context.WithTimeout(c.Context(), scaleTime)
+	defer cancel()
+	progress := func(line string) { fmt.Fprintln(c.ErrOrStderr(), line) }
+	result, err := part.Run(ctx, scale.Options{Seed: seed, Folder: folder, Progress: progress})
+	if err != nil {
+		return fmt.Errorf("scale, part %s: %w", part.Name(), err)
+	}
+	if asJSON {
+		err = result.JSON(c.OutOrStdout())
+	} else {
+		result.Text(c.OutOrStdout())
+	}
+	if err != nil {
+		return err
+	}
+	if len(result.Faults) > 0 {
+		return fmt.Errorf("scale, part %s: its claims do not hold: %s", part.Name(), strings.Join(result.Faults, "; "))
+	}
+	return nil
+}
+
+func chosenParts(name string) ([]scale.Part, error) {
+	if name == "" {
+		return scaleParts, nil
+	}
+	n := slices.IndexFunc(scaleParts, func(p scale.Part) bool { return p.Name() == name })
+	if n < 0 {
+		return nil, fmt.Errorf("--part: found %q, expected one of %s", name, partNames())
+	}
+	return scaleParts[n : n+1], nil
+}
+
+func partNames() string {
+	var names []string
+	for _, p := range scaleParts {
+		names = append(names, p.Name())
+	}
+	return strings.Join(names, ", ")
+}
