thymelab runs experiments from any folder, with the program beside it

It built the program with 'go build thymechute/cmd/thymechute', which only works inside the repository ("package thymechute/cmd/thymechute is not in std" elsewhere). It now starts the executable thymechute in its own folder; without one it ends with 1 and one line that says where it looked, what it found and what it expected.

The tests of internal/lab build the program by testkit.Built, as all others do. New: a run from a folder outside the repository with no Go tool at hand, and without the program (fails with the old way put back); what may stand in the program's place (fails with its guard out).

--- a/cmd/thymelab/main.go
+++ b/cmd/thymelab/main.go
@@ -55,15 +55,19 @@
 		if size < least || size > most {
 			return faulty{fmt.Errorf("--size: found %d, expected %d to %d", size, least, most)}
 		}
-		folder, err := os.MkdirTemp("", "thymelab")
+		executable, err := os.Executable()
 		if err != nil {
 			return err
 		}
-		defer os.RemoveAll(folder)
-		program, err := lab.Build(folder)
+		program, err := lab.ProgramBeside(executable)
 		if err != nil {
 			return err
 		}
+		folder, err := os.MkdirTemp("", "thymelab")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(folder)
 		report, err := do(program, folder, seed, size, func(line string) { fmt.Fprintln(c.ErrOrStderr(), line) })
 		if err != nil {
 			return err
--- /dev/null
+++ b/cmd/thymelab/main_test.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// runLimit is the longest that one command of these tests may take.
+const runLimit = 60 * time.Second
+
+// outside runs an executable with no Go tool at hand, in a folder that is in no repository.
+func outside(t *testing.T, executable string, args ...string) (out, errs string, code int) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), runLimit)
+	defer cancel()
+	c := exec.CommandContext(ctx, executable, args...)
+	var stdout, stderr bytes.Buffer
+	c.Dir, c.Stdout, c.Stderr = t.TempDir(), &stdout, &stderr
+	c.Env = []string{"TMPDIR=" + t.TempDir()}
+	err := c.Run()
+	var ended *exec.ExitError
+	if err != nil && !errors.As(err, &ended) {
+		t.Fatal(err)
+	}
+	return stdout.String(), stderr.String(), c.ProcessState.ExitCode()
+}
+
+// An experiment runs from any folder, with the program that stands beside thymelab; without one it says what is missing.
+func TestExperimentRunsOutsideTheRepository(t *testing.T) {
+	folder := t.TempDir()
+	if out, err := exec.Command("go", "build", "-o", folder, "thymechute/cmd/thymechute", "thymechute/cmd/thymelab").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	thymelab, program := filepath.Join(folder, "thymelab"), filepath.Join(folder, "thymechute")
+
+	out, errs, code := outside(t, thymelab, "run", "amqp-storm", "--size", "200", "--json")
+	figures := map[string]float64{}
+	if err := json.Unmarshal([]byte(out), &figures); err != nil || code != 0 || figures["read"] < 200 {
+		t.Errorf("exit code %d, %v, %s%s", code, err, out, errs)
+	}
+
+	if err := os.Remove(program); err != nil {
+		t.Fatal(err)
+	}
+	out, errs, code = outside(t, thymelab, "run", "amqp-storm", "--size", "200", "--json")
+	for _, part := range []string{program, "found nothing", "expected the executable thymechute", "go build -o bin/ ./cmd/..."} {
+		if !strings.Contains(errs, part) {
+			t.Errorf("%q does not say %q", errs, part)
+		}
+	}
+	if code != 1 || out != "" || strings.Count(errs, "\n") != 1 {
+		t.Errorf("exit code %d, %q on standard output, %q on standard error; expected 1, none and one line", code, out, errs)
+	}
+}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -1,16 +1,18 @@
 package lab
 
 import (
+	"errors"
+	"os"
+	"path/filepath"
 	"testing"
+
+	"thymechute/internal/testkit"
 )
 
 // A small size of each experiment: the claim holds, and its figures are there.
 func TestExperimentsAtASmallSize(t *testing.T) {
 	folder := t.TempDir()
-	program, err := Build(folder)
-	if err != nil {
-		t.Fatal(err)
-	}
+	program := testkit.Built(t)
 	for name, run := range map[string]func(program, folder string, seed uint64, size int, progress func(string)) (*Report, error){
 		"amqp": AMQP, "amqp-storm": AMQPStorm} {
 		r, err := run(program, folder, 1, 1500, func(string) {})
@@ -37,10 +39,7 @@
 		t.Skip("starts processes")
 	}
 	folder := t.TempDir()
-	program, err := Build(folder)
-	if err != nil {
-		t.Fatal(err)
-	}
+	program := testkit.Built(t)
 	r, err := FleetScript(program, folder, 1, 6, func(line string) { t.Log(line) }, 0)
 	if err != nil {
 		t.Fatal(err)
@@ -56,3 +55,35 @@
 		t.Errorf("figures missing: %v", held)
 	}
 }
+
+// The program is looked for beside the executable; what stands there instead is named.
+func TestProgramBeside(t *testing.T) {
+	folder := t.TempDir()
+	beside, wanted := filepath.Join(folder, "thymelab"), filepath.Join(folder, "thymechute")
+	missing := func(found string) {
+		t.Helper()
+		_, err := ProgramBeside(beside)
+		var e *MissingProgramError
+		if !errors.As(err, &e) || e.Path != wanted || e.Found != found {
+			t.Errorf("%v, expected %s at %s", err, found, wanted)
+		}
+	}
+	missing("nothing")
+	if err := os.WriteFile(wanted, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	missing("a file that may not be executed")
+	if err := os.Chmod(wanted, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if path, err := ProgramBeside(beside); path != wanted || err != nil {
+		t.Errorf("%q, %v, expected %s", path, err, wanted)
+	}
+	if err := os.Remove(wanted); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Mkdir(wanted, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	missing("no regular file")
+}
