--- a/internal/front/amqp/fields_test.go
+++ b/internal/front/amqp/fields_test.go
@@ -1,6 +1,7 @@
 package amqp
 
 import (
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -95,7 +96,7 @@
 func FuzzDecode(f *testing.F) {
 	f.Add("trace", "k", "1000", "acme", 0.5, int64(1700000000), []byte("x"))
 	f.Add("excursion", "", "1e400", "a\nb", 1.0, int64(-1<<62), []byte(nil))
-	f.Add("seal", strings.Repeat("k", 300), "-5", "\x00", -0.0, int64(1<<62), []byte("x"))
+	f.Add("seal", strings.Repeat("k", 300), "-5", "\x00", math.Copysign(0, -1), int64(1<<62), []byte("x"))
 	f.Fuzz(func(t *testing.T, band, key, patience, customer string, rank float64, origin int64, body []byte) {
 		now := time.Unix(1700000000, 0)
 		d := &amqp.Delivery{Type: band, MessageId: key, Expiration: patience, Timestamp: time.Unix(origin, 0), Body: body, Redelivered: true,
--- a/internal/lab/emu/roll.go
+++ b/internal/lab/emu/roll.go
@@ -26,9 +26,9 @@
 
 type rolling struct {
 	roll.Instance
-	drained, away time.Duration // since when; 0: not
-	start         time.Duration
-	told          int
+	drained time.Duration // since when; 0: not
+	start   time.Duration
+	told    int
 }
 
 // Roll rolls a release through size instances in zones, with faults on the way: one instance of each zone dies and
--- a/internal/stand/broker/conn.go
+++ b/internal/stand/broker/conn.go
@@ -31,7 +31,6 @@
 	frameMax uint32
 	beat     time.Duration // agreed; 0: none
 	open     bool
-	closing  bool // close was sent: only its answer counts
 	ended    bool // written out, then closed
 	muted    bool // writes nothing any more
 	deaf     bool // reads nothing any more
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -52,8 +52,8 @@
 }
 
 type instance struct {
-	graceEnd, stop time.Duration // 0: no notice
-	open           map[string]struct{}
+	graceEnd time.Duration // 0: no notice
+	open     map[string]struct{}
 }
 
 // Book takes events. Times are since the rig's start.
