internal/lab/rig: the rig of real instances as a package of its own

go test -count=1 ./internal/lab/... ./cmd/thymelab: passed (one run). TestProgramBeside moved with its file, unchanged.

--- a/cmd/thymelab/main.go
+++ b/cmd/thymelab/main.go
@@ -17,6 +17,7 @@
 	"thymechute/internal/decide/subset"
 	"thymechute/internal/lab"
 	"thymechute/internal/lab/emu"
+	"thymechute/internal/lab/rig"
 	"thymechute/internal/stand/broker"
 	"thymechute/internal/stand/runtime"
 )
@@ -59,7 +60,7 @@
 		if err != nil {
 			return err
 		}
-		program, err := lab.ProgramBeside(executable)
+		program, err := rig.ProgramBeside(executable)
 		if err != nil {
 			return err
 		}
@@ -191,7 +192,7 @@
 			}
 			defer b.Close()
 			for n := range messages {
-				b.Publish("", "readings", broker.Props{broker.Type: lab.Trace, broker.MessageID: fmt.Sprintf("m%d", n+1)}, []byte("reading"))
+				b.Publish("", "readings", broker.Props{broker.Type: rig.Trace, broker.MessageID: fmt.Sprintf("m%d", n+1)}, []byte("reading"))
 			}
 			fmt.Fprintln(c.OutOrStdout(), "listening on", address)
 			untilStopped()
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -1,9 +1,6 @@
 package lab
 
 import (
-	"errors"
-	"os"
-	"path/filepath"
 	"testing"
 
 	"thymechute/internal/testkit"
@@ -55,35 +52,3 @@
 		t.Errorf("figures missing: %v", held)
 	}
 }
-
-// The program is looked for beside the executable; what stands there instead is named.
-func TestProgramBeside(t *testing.T) {
-	folder := t.TempDir()
-	beside, wanted := filepath.Join(folder, "thymelab"), filepath.Join(folder, "thymechute")
-	missing := func(found string) {
-		t.Helper()
-		_, err := ProgramBeside(beside)
-		var e *MissingProgramError
-		if !errors.As(err, &e) || e.Path != wanted || e.Found != found {
-			t.Errorf("%v, expected %s at %s", err, found, wanted)
-		}
-	}
-	missing("nothing")
-	if err := os.WriteFile(wanted, nil, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	missing("a file that may not be executed")
-	if err := os.Chmod(wanted, 0o700); err != nil {
-		t.Fatal(err)
-	}
-	if path, err := ProgramBeside(beside); path != wanted || err != nil {
-		t.Errorf("%q, %v, expected %s", path, err, wanted)
-	}
-	if err := os.Remove(wanted); err != nil {
-		t.Fatal(err)
-	}
-	if err := os.Mkdir(wanted, 0o700); err != nil {
-		t.Fatal(err)
-	}
-	missing("no regular file")
-}
--- a/internal/lab/instance.go
+++ b/internal/lab/rig/instance.go
@@ -1,7 +1,7 @@
-// Package lab runs experiments: the real program and stand-ins on loopback, bounded in count and time, each with a
-// claim that it holds or not. This file owns the program as a process. It must never touch an address that is not
-// loopback, nor leave a process behind.
-package lab
+// This file owns the program as a process: its start, its log, what it uses, its end. It must never leave a process
+// behind: each is killed with the thread that started it.
+
+package rig
 
 import (
 	"bufio"
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -20,30 +19,6 @@
 	"time"
 )
 
-// Bands of the labs' site: pure, receipted, effectful.
-const (
-	Trace     = "trace"
-	Excursion = "excursion"
-	Seal      = "seal"
-	Patience  = 30 * time.Second
-	Window    = 120 * time.Second
-)
-
-// site is the settings of a small deployment with many cores, so that what is measured is the program.
-func site() map[string]any {
-	var classes []any
-	for n, c := range [][2]string{{Trace, "repeatable"}, {Excursion, "by_key"}, {Seal, "once"}} {
-		classes = append(classes, map[string]any{"name": c[0], "repeat": c[1], "worth": n + 1, "aim_s": Patience.Seconds(),
-			"deadline_s": Patience.Seconds(), "window_s": Window.Seconds(), "late_value": 0})
-	}
-	return map[string]any{"classes": classes, "tenants": []any{map[string]any{"name": "acme", "quota_per_s": 1e6}},
-		"fleet_size": 2, "rules": map[string]any{"drain_grace_s": 1, "fall_multiple": 8},
-		"policy_limits": map[string]any{"max_retry_after_s": 1, "retry_after": true},
-		"domain": map[string]any{"cores": 16, "ram_kb": 1e7, "blowup": 2, "entry_kb": 0.1, "halt": "abort", "say": "threshold",
-			"depends_on": "shared", "dep_share": 50, "dep_window_s": 5, "linger_s": 0.2, "calls_by_class": []any{false, false, false},
-			"degraded_worth": []any{0, 0, 0}, "caller_idle_s": 30, "clients_total": 3, "gauges": []any{"cpu_busy", "runnable"}}}
-}
-
 // Instance is the program as a process.
 type Instance struct {
 	Name, Listen string
@@ -54,52 +29,19 @@
 	wrote        chan struct{} // one slot, filled at each write: who waits for a line waits on it
 }
 
-// programName is the file name of the program that the experiments start.
-const programName = "thymechute"
-
-// MissingProgramError says that an experiment has no program to start.
-type MissingProgramError struct {
-	Path  string // where it was looked for
-	Found string // what stands there instead
-}
-
-func (e *MissingProgramError) Error() string {
-	return fmt.Sprintf("program of the experiment: %s: found %s, expected the executable %s (build both into one folder: go build -o bin/ ./cmd/...)",
-		e.Path, e.Found, programName)
-}
-
-// ProgramBeside is the path of the program in the folder of another executable, or a *MissingProgramError.
-func ProgramBeside(executable string) (string, error) {
-	path := filepath.Join(filepath.Dir(executable), programName)
-	info, err := os.Stat(path)
-	switch {
-	case errors.Is(err, fs.ErrNotExist):
-		return "", &MissingProgramError{Path: path, Found: "nothing"}
-	case err != nil:
-		return "", &MissingProgramError{Path: path, Found: err.Error()}
-	case !info.Mode().IsRegular():
-		return "", &MissingProgramError{Path: path, Found: "no regular file"}
-	case info.Mode().Perm()&0o111 == 0:
-		return "", &MissingProgramError{Path: path, Found: "a file that may not be executed"}
-	}
-	return path, nil
-}
-
-// free is a loopback address that nothing listens on (freeOn, fleet.go).
-func free() (string, error) { return freeOn("127.0.0.1") }
-
-// Launch starts the program at its runtime; settings is the operator's file, or empty.
+// Launch starts the program at its runtime, with its configuration in the folder; settings is the operator's file, or empty.
+// Who starts it ends it, by Kill or Drain.
 func Launch(program, folder, name, runtime, settings string, memoryMB int, seed uint64) (*Instance, error) {
-	listen, err := free()
+	listen, err := Free()
 	if err != nil {
 		return nil, err
 	}
-	nobody, err := free()
+	nobody, err := Free()
 	if err != nil {
 		return nil, err
 	}
 	text, _ := json.Marshal(map[string]any{"name": name, "listen": listen, "runtime": runtime, "index": nobody, "directory": nobody,
-		"seed": strconv.FormatUint(seed, 16), "stop_ms": 3000, "settings": site(),
+		"seed": strconv.FormatUint(seed, 16), "stop_ms": 3000, "settings": deployment(),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": 384}})
 	file := filepath.Join(folder, name+".json")
 	if err := os.WriteFile(file, text, 0o600); err != nil {
@@ -181,8 +123,8 @@
 	<-i.exited
 }
 
-// Leave gives it the notice and waits for its end.
-func (i *Instance) Leave() error {
+// Drain gives it the notice (SIGTERM) and waits for its end; an end with another code than 0 is an error, as is none in 5 s.
+func (i *Instance) Drain() error {
 	_ = i.cmd.Process.Signal(syscall.SIGTERM)
 	select {
 	case <-i.exited:
--- a/internal/lab/fleetview.go
+++ b/internal/lab/rig/view.go
@@ -1,7 +1,7 @@
-// This file owns what the fleet rig knows of its members: their logged views, and whether these agree. It must never
-// wait without a bound.
+// This file owns what is known of a fleet's members: their logged views, and whether these agree. It must never wait
+// without a bound.
 
-package lab
+package rig
 
 import (
 	"encoding/json"
@@ -18,8 +18,8 @@
 	Names   string `json:"names"`
 }
 
-// view reads the last "fleet view" line of an instance; false where there is none yet.
-func view(i *Instance) (View, bool) {
+// View reads the last "fleet view" line of an instance; false where there is none yet.
+func (i *Instance) View() (View, bool) {
 	text := i.Log()
 	at := strings.LastIndex(text, "\tfleet view\t")
 	if at < 0 {
@@ -34,18 +34,17 @@
 }
 
 // Agree waits until each of names holds a view of exactly names, each with a rank, the ranks dense and unique; it
-// returns how long that took, or an error with all views after fleetAgree.
-func (r *FleetRig) Agree(names []string) (time.Duration, error) {
-	limit := fleetAgree
+// returns how long that took, or an error with all views after agreeLimit.
+func (f *Fleet) Agree(names []string) (time.Duration, error) {
 	start := time.Now()
 	want := strings.Join(slices.Sorted(slices.Values(names)), ",")
-	deadline := time.NewTimer(limit)
+	deadline := time.NewTimer(agreeLimit)
 	defer deadline.Stop()
 	for {
 		ranks := map[int]bool{}
 		ok := true
 		for _, n := range names {
-			v, has := view(r.members[n])
+			v, has := f.members[n].View()
 			if !has || v.Names != want || v.Rank < 0 || v.Rank >= len(names) || ranks[v.Rank] {
 				ok = false
 				break
@@ -67,7 +66,7 @@
 					}
 				case <-stop:
 				}
-			}(r.members[n])
+			}(f.members[n])
 		}
 		select {
 		case <-wake:
@@ -78,12 +77,12 @@
 			silent := ""
 			for _, n := range names {
 				var ok bool
-				if views[n], ok = view(r.members[n]); !ok {
-					text := r.members[n].Log()
+				if views[n], ok = f.members[n].View(); !ok {
+					text := f.members[n].Log()
 					silent += fmt.Sprintf("; %s logged no view, last: %q", n, text[max(len(text)-400, 0):])
 				}
 			}
-			return 0, fmt.Errorf("members %s did not agree within %v: %v%s", want, limit, views, silent)
+			return 0, fmt.Errorf("members %s did not agree within %v: %v%s", want, agreeLimit, views, silent)
 		}
 	}
 }
