--- a/cmd/thymelab/scale.go
+++ b/cmd/thymelab/scale.go
@@ -28,7 +28,7 @@
 		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
 			parts, err := chosenParts(part)
 			if err != nil {
-				return faulty{err}
+				return usageError{err}
 			}
 			for _, p := range parts {
 				if err := runPart(c, p, seed, asJSON); err != nil {
