--- a/internal/testkit/program.go
+++ b/internal/testkit/program.go
@@ -143,3 +143,11 @@
 	p.t.Helper()
 	return Next(p.t, p.Exited, "the program's end")
 }
+
+// EndsWith waits for the end, and checks the exit code.
+func (p *Program) EndsWith(code int) {
+	p.t.Helper()
+	if found := p.Exit(); found != code {
+		p.t.Errorf("exit code %d, expected %d", found, code)
+	}
+}
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -99,8 +99,14 @@
 	}
 }
 
+// Test is a test, or a case of a state machine (rapid.T).
+type Test interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
 // Next takes what comes from the channel.
-func Next[T any](t *testing.T, from <-chan T, what string) (x T) {
+func Next[T any](t Test, from <-chan T, what string) (x T) {
 	t.Helper()
 	select {
 	case x = <-from:
