--- /dev/null
+++ b/internal/stand/faultnet/address_test.go
@@ -0,0 +1,31 @@
+package faultnet
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+)
+
+// An address is free for both protocols, and never at a port that a connection on its way may be given.
+func TestFreeAddress(t *testing.T) {
+	for range 50 {
+		address, err := FreeAddress("127.0.90.1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		at := netip.MustParseAddrPort(address)
+		if at.Addr() != netip.MustParseAddr("127.0.90.1") || at.Port() < firstPort || at.Port() >= portsEnd {
+			t.Errorf("%s, expected 127.0.90.1 and a port from %d to before %d", address, firstPort, portsEnd)
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		u, err := net.ListenPacket("udp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer u.Close()
+	}
+}
--- a/internal/stand/faultnet/faultnet.go
+++ b/internal/stand/faultnet/faultnet.go
@@ -4,7 +4,7 @@
 // pair what the script says: cut one way or both, lose a share of datagrams by a seeded generator, heal.
 //
 // It owns the proxies, the rules and the connections it pipes, and must never listen or dial outside loopback,
-// draw chance that a seed can't tell again, nor outlive Close.
+// draw chance that a seed can't tell again (but for free ports), nor outlive Close.
 //
 // Tables: rules hold at most one entry an ordered pair of members (cut, loss), emptied by Heal; pipes hold the TCP
 // connections in flight, at most maxPipes, each removed as it ends and all closed by a cut between its two ends.
