Calls to a cold backend by lots in the log: the ramp holds for the sum of all members

Need: what all members together send a backend that comes in cold has to keep within the budget that its ramp allows. Nothing saw to it: Pace (decide/ring/pace.go) was called by its test alone, slots.Tick planned the wanted weights whole, and Calls.May knew no cold backend.

The owner brings a cold backend's weight up by Pace and says a lot of calls every so often in the log; each member takes its share of the lot by the roster of acknowledging processes that the log agrees on, under the lease confirmed before the lot. As many lots as can be used within a window hold its budget, so a deaf member, a late one and another owner cannot add to the sum.

--- a/internal/decide/ring/agreed.go
+++ b/internal/decide/ring/agreed.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -17,6 +18,10 @@
 	Table  *Table // in force
 	Moving *Table // frozen for; nil: nothing moves
 	Slots  []int  // that move
+
+	// While the table has a cold backend:
+	Roster []string // processes among which lots are split, by name; at most MostMembers, emptied by Left, Grant and Open
+	Lot    uint64   // number of the last lot
 }
 
 // Freeze begins a move to the table's next version; false where one is under way or the version isn't the next.
@@ -34,6 +39,36 @@
 		return false
 	}
 	a.Table, a.Moving, a.Slots = a.Moving, nil, nil
+	if !a.Table.Cold() {
+		a.Roster = nil
+	}
+	return true
+}
+
+// Acknowledged: an acknowledgement of this process has been confirmed. Lots from now on are split with it.
+func (a *Agreed) Acknowledged(process string) {
+	at, known := slices.BinarySearch(a.Roster, process)
+	if !known && a.Table.Cold() && len(a.Roster) < MostMembers {
+		a.Roster = slices.Insert(a.Roster, at, process)
+	}
+}
+
+// Left: this process makes no more calls.
+func (a *Agreed) Left(process string) {
+	if at, known := slices.BinarySearch(a.Roster, process); known {
+		a.Roster = slices.Delete(a.Roster, at, at+1)
+	}
+}
+
+// Grant is a lot's entry; false where it isn't the next, as with one that was said again.
+func (a *Agreed) Grant(l Lot) bool {
+	if l.Number != a.Lot+1 {
+		return false
+	}
+	a.Lot = l.Number
+	for _, process := range l.Gone {
+		a.Left(process)
+	}
 	return true
 }
 
@@ -51,6 +86,9 @@
 	h := xxhash.New()
 	for _, b := range t.backends {
 		_, _ = h.WriteString(b.Name + "\x00" + b.Zone + "\x00")
+		if b.Cold {
+			_, _ = h.WriteString("cold\x00")
+		}
 	}
 	var two [2]byte
 	for _, b := range t.slots {
@@ -105,7 +143,9 @@
 	return json.Marshal(struct {
 		Table, Moving *encoded
 		Slots         []int
-	}{a.Table.encode(), a.Moving.encode(), a.Slots})
+		Roster        []string `json:",omitempty"`
+		Lot           uint64   `json:",omitempty"`
+	}{a.Table.encode(), a.Moving.encode(), a.Slots, a.Roster, a.Lot})
 }
 
 // Decode takes a snapshot. Errors: not one of ours; then nothing changed.
@@ -113,6 +153,8 @@
 	var e struct {
 		Table, Moving *encoded
 		Slots         []int
+		Roster        []string
+		Lot           uint64
 	}
 	if err := json.Unmarshal(b, &e); err != nil {
 		return fmt.Errorf("ring: found no JSON object (%w)", err)
@@ -128,6 +170,9 @@
 	if err != nil {
 		return err
 	}
-	a.Table, a.Moving, a.Slots = table, moving, e.Slots
+	if !slices.IsSorted(e.Roster) || len(e.Roster) > MostMembers {
+		return fmt.Errorf("ring: found a roster of %d, expected at most %d in order", len(e.Roster), MostMembers)
+	}
+	a.Table, a.Moving, a.Slots, a.Roster, a.Lot = table, moving, e.Slots, e.Roster, e.Lot
 	return nil
 }
--- a/internal/decide/ring/pace.go
+++ b/internal/decide/ring/pace.go
@@ -36,6 +36,11 @@
 	return p.part
 }
 
+// Resumed is a cold backend that another owner has brought to this part.
+func Resumed(now time.Duration, r Ramp, part float64) Pace {
+	return Pace{began: true, part: min(max(part, r.First), 1), next: now + r.Every}
+}
+
 // Warm is a backend that has its whole part, as one has that was there all along.
 func Warm() Pace { return Pace{part: 1, began: true} }
 
--- a/internal/decide/ring/ring.go
+++ b/internal/decide/ring/ring.go
@@ -29,6 +29,7 @@
 	Name   string
 	Zone   string
 	Weight float64 // its part beside the others', over 0
+	Cold   bool    `json:",omitempty"` // it takes only the calls of lots (budget.go), until it has its whole part
 	hash   uint64  // of its name, and its zone's number, once in a table
 	zone   int
 }
@@ -71,6 +72,28 @@
 // Backends that it names, by name.
 func (t *Table) Backends() []Backend { return t.backends }
 
+// named is the backend of this name; false where the table has none.
+func (t *Table) named(name string) (*Backend, bool) {
+	at, found := slices.BinarySearchFunc(t.backends, name, func(b Backend, name string) int { return strings.Compare(b.Name, name) })
+	if !found {
+		return nil, false
+	}
+	return &t.backends[at], true
+}
+
+// Cold tells whether any of its backends is.
+func (t *Table) Cold() bool {
+	return slices.ContainsFunc(t.backends, func(b Backend) bool { return b.Cold })
+}
+
+// Warmed tells whether a backend that was cold in the table before is not in this one, or the other way round.
+func (t *Table) Warmed(before *Table) bool {
+	return slices.ContainsFunc(t.backends, func(b Backend) bool {
+		was, there := before.named(b.Name)
+		return there && was.Cold != b.Cold
+	})
+}
+
 // Counts is how many slots each backend holds, by place in Backends, and how many nobody does.
 func (t *Table) Counts() (held []int, free int) {
 	held = make([]int, len(t.backends))
--- a/internal/fleet/slots/slots.go
+++ b/internal/fleet/slots/slots.go
@@ -31,10 +31,11 @@
 
 // word is the body of an entry; one of them.
 type word struct {
-	Freeze *freeze `json:"freeze,omitempty"`
-	Open   uint64  `json:"open,omitempty"` // the version
-	Ack    uint64  `json:"ack,omitempty"`  // the version that its sender goes by
-	Ends   bool    `json:"ends,omitempty"` // its sender has ended its calls and makes no more
+	Freeze *freeze   `json:"freeze,omitempty"`
+	Open   uint64    `json:"open,omitempty"` // the version
+	Ack    uint64    `json:"ack,omitempty"`  // the version that its sender goes by
+	Ends   bool      `json:"ends,omitempty"` // its sender has ended its calls and makes no more
+	Lot    *ring.Lot `json:"lot,omitempty"`  // calls that the cold backends may be sent
 }
 
 type freeze struct {
@@ -58,6 +59,8 @@
 	Slots   int
 	Terms   ring.Terms
 	Band    ring.Band
+	Ramp    ring.Ramp         // of a backend that comes in cold
+	Budget  ring.Budget       // of the same; zero: none is taken for cold
 	Say     func(line string) // one line to the operators
 }
 
@@ -74,6 +77,7 @@
 	broken bool // its plan differs from the fleet's
 
 	mover   *ring.Mover // at the owner
+	ramps   *ring.Ramps // at the owner, where there is a budget
 	want    []ring.Backend
 	heard   map[string]time.Duration // acknowledgements: by process, when; emptied by time
 	sent    []sent
@@ -86,8 +90,12 @@
 	at  time.Duration
 }
 
-// New is of a process that has just started: it has no table until it has heard one.
+// New is of a process that has just started: it has no table until it has heard one. Errors: a number of slots that is no
+// table's, a budget that is none.
 func New(c Config, log Log) (*Keeper, error) {
+	if err := c.Budget.Check(); c.Budget != (ring.Budget{}) && err != nil {
+		return nil, err
+	}
 	empty, err := ring.New(c.Slots)
 	if err != nil {
 		return nil, err
@@ -96,7 +104,7 @@
 		heard: map[string]time.Duration{}}, nil
 }
 
-// Want tells the backends that should be there; the owner acts on its own.
+// Want tells the backends that should be there, and which of them have come in cold; the owner acts on its own.
 func (k *Keeper) Want(backends []ring.Backend) {
 	k.mu.Lock()
 	k.want = slices.Clone(backends)
@@ -112,12 +120,15 @@
 		known = append(known, process)
 	}
 	k.mover = ring.NewMover(now, mover{k}, k.c.Terms, known, k.agreed.Moving, k.agreed.Slots)
+	if k.c.Budget != (ring.Budget{}) {
+		k.ramps = ring.NewRamps(now, k.c.Ramp, k.c.Budget, k.c.Terms)
+	}
 }
 
 // Lost: it does not any more.
 func (k *Keeper) Lost() {
 	k.mu.Lock()
-	k.mover = nil
+	k.mover, k.ramps = nil, nil
 	k.mu.Unlock()
 }
 
@@ -152,10 +163,18 @@
 			}
 			k.c.Say(fmt.Sprintf("ring: table %d", w.Open))
 		}
+	case c.Kind == owner.Do && w.Lot != nil:
+		if k.agreed.Grant(*w.Lot) {
+			k.calls.Granted(w.Lot.Shares(k.agreed.Roster, k.c.Process))
+			if k.ramps != nil {
+				k.ramps.Granted(now)
+			}
+		}
 	case c.Kind == owner.Note && w.Ack != 0:
 		k.acknowledged(now, c, w)
 	case c.Kind == owner.Note && w.Ends:
 		delete(k.heard, c.Member)
+		k.agreed.Left(c.Member)
 		if k.mover != nil {
 			k.mover.Left(c.Member)
 		}
@@ -184,6 +203,7 @@
 	if _, known := k.heard[c.Member]; known || len(k.heard) < ring.MostMembers {
 		k.heard[c.Member] = now
 	}
+	k.agreed.Acknowledged(c.Member)
 	if k.mover != nil {
 		k.mover.Acknowledged(now, c.Member, w.Ack)
 	}
@@ -234,14 +254,36 @@
 		return
 	}
 	k.mover.Tick(now)
+	k.plan(now)
+	k.grant(now)
+}
+
+// plan begins the next move, where the backends that should be there ask for one.
+func (k *Keeper) plan(now time.Duration) {
 	if k.mover.Busy() || k.agreed.Moving != nil || len(k.want) == 0 {
 		return
 	}
-	if next, moves, _, err := k.agreed.Table.Plan(k.want, k.c.Band, nil); err == nil && (len(moves) > 0 || len(k.agreed.Table.Backends()) == 0) {
+	want := k.want
+	if k.ramps != nil {
+		want = k.ramps.Weighted(now, want, k.agreed.Table)
+	}
+	next, moves, _, err := k.agreed.Table.Plan(want, k.c.Band, nil)
+	if err == nil && (len(moves) > 0 || len(k.agreed.Table.Backends()) == 0 || next.Warmed(k.agreed.Table)) {
 		k.mover.Start(now, next, moves)
 	}
 }
 
+// grant says the next lot for the cold backends.
+func (k *Keeper) grant(now time.Duration) {
+	if k.ramps == nil {
+		return
+	}
+	there := func(process string) bool { _, heard := k.heard[process]; return heard }
+	if l, due := k.ramps.Next(now, &k.agreed, there); due {
+		mover{k}.decide(word{Lot: &l})
+	}
+}
+
 // forbidden: a call is out on a slot that moves.
 func (k *Keeper) forbidden() bool {
 	for _, s := range k.agreed.Slots {
--- a/internal/fleet/slots/slots_test.go
+++ b/internal/fleet/slots/slots_test.go
@@ -54,6 +54,7 @@
 type hub struct {
 	keeper atomic.Pointer[Keeper]
 	driver atomic.Pointer[log.Driver]
+	deaf   atomic.Bool // its Keeper hears nothing of the log
 	mu     sync.Mutex
 }
 
@@ -76,6 +77,9 @@
 func (h *hub) Restored(b []byte)      { h.keeper.Load().Restored(b) }
 func (h *hub) Tick(now time.Duration) { h.keeper.Load().Tick(now) }
 func (h *hub) Entry(_ uint64, c owner.Command, o owner.Outcome) {
+	if h.deaf.Load() {
+		return
+	}
 	h.keeper.Load().Entry(h.now(), c, o)
 }
 
@@ -110,6 +114,9 @@
 	}
 	config := Config{Process: process, Life: life, Slots: 64, Terms: terms, Band: ring.Band{Slack: 0.05},
 		Say: func(text string) { h.tell(line{What: "said", Text: text}) }}
+	if os.Getenv("PACK_COLD") != "" {
+		config = coldConfig(config)
+	}
 	keeper, err := New(config, lazy{h})
 	fail(err)
 	state, err := NewState(config)
@@ -121,7 +128,7 @@
 	}
 	record := member.Record{Zone: "z", Rank: -1, Process: process, Log: front}
 	m, err := member.Start(member.Config{Name: name, Bind: os.Getenv("PACK_BIND0"), Advertise: os.Getenv("PACK_FRONT0"), Seeds: seeds,
-		Most: 16, Probe: 200 * time.Millisecond, Sync: 500 * time.Millisecond, Record: record, Message: func(b []byte) {
+		Most: 32, Probe: 200 * time.Millisecond, Sync: 500 * time.Millisecond, Record: record, Message: func(b []byte) {
 			if d := h.driver.Load(); d != nil {
 				d.Incoming(b)
 			}
@@ -144,8 +151,12 @@
 		}
 	})
 	var calls, held atomic.Int64
-	for n := range 8 {
-		go caller(h, keeper, rand.New(rand.NewPCG(life, uint64(n))), &calls, &held)
+	if os.Getenv("PACK_COLD") != "" {
+		coldCallers(h, keeper, name, life)
+	} else {
+		for n := range 8 {
+			go caller(h, keeper, rand.New(rand.NewPCG(life, uint64(n))), &calls, &held)
+		}
 	}
 	go func() {
 		version, applied := uint64(0), uint64(0)
@@ -258,6 +269,18 @@
 	}
 }
 
+// ask replaces the file in which the members read which backends should be there.
+func ask(t *testing.T, want string, backends []ring.Backend) {
+	t.Helper()
+	b, _ := json.Marshal(backends)
+	if err := os.WriteFile(want+".new", b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(want+".new", want); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func script(t *testing.T, octet int, more ...string) (made, two int) {
 	s := &stands{at: map[string]map[string]int{}}
 	want := filepath.Join(t.TempDir(), "want.json")
@@ -266,15 +289,7 @@
 		name := fmt.Sprint("b", n)
 		all = append(all, ring.Backend{Name: name, Zone: s.serve(t, name), Weight: 1})
 	}
-	wants := func(backends ...ring.Backend) {
-		b, _ := json.Marshal(backends)
-		if err := os.WriteFile(want+".new", b, 0o600); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.Rename(want+".new", want); err != nil {
-			t.Fatal(err)
-		}
-	}
+	wants := func(backends ...ring.Backend) { ask(t, want, backends) }
 	wants(all[:4]...)
 	p := testkit.NewPack(t, octet, 2, func(l *line, name string) { l.name = name })
 	for n := range 5 {
--- a/internal/fleet/slots/state.go
+++ b/internal/fleet/slots/state.go
@@ -39,14 +39,25 @@
 
 // Apply implements log.Machine.
 func (s *State) Apply(_ uint64, c owner.Command, o owner.Outcome) {
+	if c.Duty != Duty || !o.Accepted || c.Kind == owner.Note && !s.agreed.Table.Cold() {
+		return // acknowledgements matter to the roster alone
+	}
 	var w word
-	if c.Duty != Duty || c.Kind != owner.Do || !o.Accepted || json.Unmarshal([]byte(c.Body), &w) != nil {
+	if json.Unmarshal([]byte(c.Body), &w) != nil {
 		return
 	}
-	if w.Freeze != nil {
+	switch {
+	case c.Kind == owner.Note && w.Ends:
+		s.agreed.Left(c.Member)
+	case c.Kind == owner.Note && w.Ack != 0 && s.agreed.Confirms(w.Ack):
+		s.agreed.Acknowledged(c.Member)
+	case c.Kind != owner.Do:
+	case w.Freeze != nil:
 		s.c.follow(&s.agreed, *w.Freeze)
-	} else if w.Open != 0 {
+	case w.Open != 0:
 		s.agreed.Open(w.Open)
+	case w.Lot != nil:
+		s.agreed.Grant(*w.Lot)
 	}
 }
 
