Tests: idle clients fill the descriptors while the catalog is away; ten restarts at 60,000 tenants

Need: two of the three new terms had no test with the real program.

Descriptors: 512 idle connections on a program that may have 128 (limits.sockets, held to by the system's own limit too), half of them after a whole request, the catalog's port closed.

Restarts: kill -9 ten times, 60,000 tenants in the file, a runtime with all cores busy that keeps a run and ends another of the life before, four clients that ask on new connections all the while.

--- a/internal/testkit/party.go
+++ b/internal/testkit/party.go
@@ -27,6 +27,7 @@
 	in      *bufio.Reader
 	lines   chan string // of a runtime's link once it is up: all but gauges, which are answered as they come
 	mute    *atomic.Bool
+	busy    atomic.Bool // its readings are those of a runtime with all cores at work
 }
 
 // NewParty listens.
@@ -86,8 +87,11 @@
 // Mute lets gauges go unanswered on this link from now on.
 func (p *Party) Mute() { p.mute.Store(true) }
 
+// Busy lets the readings be those of a runtime with all its cores at work, from now on.
+func (p *Party) Busy() { p.busy.Store(true) }
+
 // pump answers the gauges of a link and hands on all else.
-func pump(c net.Conn, in *bufio.Reader, mute *atomic.Bool, to chan<- string) {
+func (p *Party) pump(c net.Conn, in *bufio.Reader, mute *atomic.Bool, to chan<- string) {
 	defer close(to)
 	for {
 		line, err := in.ReadString('\n')
@@ -98,13 +102,17 @@
 		if _ = json.Unmarshal([]byte(line), &m); m.Verb != "gauges" {
 			to <- line
 		} else if !mute.Load() {
-			answerGauges(c, m.Nonce)
+			p.answerGauges(c, m.Nonce)
 		}
 	}
 }
 
-func answerGauges(c net.Conn, nonce string) {
-	_, _ = fmt.Fprintf(c, `{"verb":"load","nonce":%q,"readings":[0.1,0]}`+"\n", nonce)
+func (p *Party) answerGauges(c net.Conn, nonce string) {
+	readings := "0.1,0"
+	if p.busy.Load() {
+		readings = "1,2"
+	}
+	_, _ = fmt.Fprintf(c, `{"verb":"load","nonce":%q,"readings":[%s]}`+"\n", nonce, readings)
 }
 
 func (p *Party) line() (string, error) {
@@ -149,7 +157,7 @@
 	p.command("gauges") // comes behind what the program did with the notices
 	_ = p.conn.SetReadDeadline(time.Time{})
 	p.lines = make(chan string, 10000)
-	go pump(p.conn, p.in, p.mute, p.lines)
+	go p.pump(p.conn, p.in, p.mute, p.lines)
 }
 
 // Command waits for a command of that verb, and answers the gauges asked for meanwhile.
@@ -192,7 +200,7 @@
 		}
 		if m["verb"] == "gauges" {
 			nonce, _ := m["nonce"].(string)
-			answerGauges(p.conn, nonce)
+			p.answerGauges(p.conn, nonce)
 		}
 		if m["verb"] == verb {
 			return m
@@ -238,13 +246,18 @@
 
 // Obey runs all that is started, with this result, until the link breaks; its first notice has that number.
 func (p *Party) Obey(first int, result string) {
+	p.ObeyBut(first, result, func(string) bool { return false })
+}
+
+// ObeyBut is Obey that lets those tasks run on without an end of which leave says so.
+func (p *Party) ObeyBut(first int, result string, leave func(task string) bool) {
 	for n := first; ; {
 		line, err := p.line()
 		if err != nil {
 			return
 		}
 		var m struct{ Verb, Task string }
-		if _ = json.Unmarshal([]byte(line), &m); m.Verb == "start" {
+		if _ = json.Unmarshal([]byte(line), &m); m.Verb == "start" && !leave(m.Task) {
 			if _, err = fmt.Fprintln(p.conn, EndLine(n, m.Task, "good", result)); err != nil {
 				return
 			}
--- a/internal/testkit/program.go
+++ b/internal/testkit/program.go
@@ -135,6 +135,23 @@
 	return p.log.String()
 }
 
+// Kill ends it outright, and waits for that.
+func (p *Program) Kill() {
+	p.t.Helper()
+	_ = p.Cmd.Process.Kill()
+	p.Exit()
+}
+
+// Descriptors is how many the process has open.
+func (p *Program) Descriptors() int {
+	p.t.Helper()
+	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.Cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return len(open)
+}
+
 // Term sends the notice to leave.
 func (p *Program) Term() { _ = p.Cmd.Process.Signal(syscall.SIGTERM) }
 
