--- a/internal/decide/ring/pace.go
+++ b/internal/decide/ring/pace.go
@@ -2,7 +2,10 @@
 
 package ring
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Ramp is the terms of a cold backend; parts are of its whole weight.
 type Ramp struct {
@@ -14,6 +17,15 @@
 	Fails float64       // part of its calls that fail, over which it suffers
 }
 
+// Check tells what is wrong with it.
+func (r Ramp) Check() error {
+	if !(r.First > 0 && r.First <= 1 && r.Up > 0 && r.Back >= 0 && r.Back <= 1 && r.Every > 0) {
+		return fmt.Errorf("ramp: found first %g, up %g, back %g, every %v, expected first over 0 to 1, up and every over 0, back 0 to 1",
+			r.First, r.Up, r.Back, r.Every)
+	}
+	return nil
+}
+
 // Pace is one backend's ramp. The zero value has not begun.
 type Pace struct {
 	part  float64
@@ -36,6 +48,11 @@
 	return p.part
 }
 
+// Resumed is a cold backend that another owner has brought to this part.
+func Resumed(now time.Duration, r Ramp, part float64) Pace {
+	return Pace{began: true, part: min(max(part, r.First), 1), next: now + r.Every}
+}
+
 // Warm is a backend that has its whole part, as one has that was there all along.
 func Warm() Pace { return Pace{part: 1, began: true} }
 
--- a/internal/fleet/slots/slots.go
+++ b/internal/fleet/slots/slots.go
@@ -12,6 +12,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -31,10 +32,11 @@
 
 // word is the body of an entry; one of them.
 type word struct {
-	Freeze *freeze `json:"freeze,omitempty"`
-	Open   uint64  `json:"open,omitempty"` // the version
-	Ack    uint64  `json:"ack,omitempty"`  // the version that its sender goes by
-	Ends   bool    `json:"ends,omitempty"` // its sender has ended its calls and makes no more
+	Freeze *freeze   `json:"freeze,omitempty"`
+	Open   uint64    `json:"open,omitempty"` // the version
+	Ack    uint64    `json:"ack,omitempty"`  // the version that its sender goes by
+	Ends   bool      `json:"ends,omitempty"` // its sender has ended its calls and makes no more
+	Lot    *ring.Lot `json:"lot,omitempty"`  // calls that the cold backends may be sent
 }
 
 type freeze struct {
@@ -58,6 +60,8 @@
 	Slots   int
 	Terms   ring.Terms
 	Band    ring.Band
+	Ramp    ring.Ramp         // of a backend that comes in cold
+	Budget  ring.Budget       // of the same; zero: none is taken for cold
 	Say     func(line string) // one line to the operators
 }
 
@@ -74,6 +78,7 @@
 	broken bool // its plan differs from the fleet's
 
 	mover   *ring.Mover // at the owner
+	ramps   *ring.Ramps // at the owner, where there is a budget
 	want    []ring.Backend
 	heard   map[string]time.Duration // acknowledgements: by process, when; emptied by time
 	sent    []sent
@@ -86,8 +91,14 @@
 	at  time.Duration
 }
 
-// New is of a process that has just started: it has no table until it has heard one.
+// New is of a process that has just started: it has no table until it has heard one. Errors: a number of slots that is no
+// table's, a budget or a ramp beside it that is none.
 func New(c Config, log Log) (*Keeper, error) {
+	if c.Budget != (ring.Budget{}) {
+		if err := errors.Join(c.Budget.Check(), c.Ramp.Check()); err != nil {
+			return nil, err
+		}
+	}
 	empty, err := ring.New(c.Slots)
 	if err != nil {
 		return nil, err
@@ -96,31 +107,13 @@
 		heard: map[string]time.Duration{}}, nil
 }
 
-// Want tells the backends that should be there; the owner acts on its own.
+// Want tells the backends that should be there, and which of them have come in cold; the owner acts on its own.
 func (k *Keeper) Want(backends []ring.Backend) {
 	k.mu.Lock()
 	k.want = slices.Clone(backends)
 	k.mu.Unlock()
 }
 
-// Held: this member owns the ring from now on.
-func (k *Keeper) Held(now time.Duration) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	var known []string
-	for process := range k.heard {
-		known = append(known, process)
-	}
-	k.mover = ring.NewMover(now, mover{k}, k.c.Terms, known, k.agreed.Moving, k.agreed.Slots)
-}
-
-// Lost: it does not any more.
-func (k *Keeper) Lost() {
-	k.mu.Lock()
-	k.mover = nil
-	k.mu.Unlock()
-}
-
 // Entry is one of the log's, with what became of it.
 func (k *Keeper) Entry(now time.Duration, c owner.Command, o owner.Outcome) {
 	if c.Duty != Duty || !o.Accepted || c.Body == "" {
@@ -152,10 +145,18 @@
 			}
 			k.c.Say(fmt.Sprintf("ring: table %d", w.Open))
 		}
+	case c.Kind == owner.Do && w.Lot != nil:
+		if k.agreed.Grant(*w.Lot) {
+			k.calls.Granted(w.Lot.Shares(k.agreed.Roster, k.c.Process))
+			if k.ramps != nil {
+				k.ramps.Granted(now)
+			}
+		}
 	case c.Kind == owner.Note && w.Ack != 0:
 		k.acknowledged(now, c, w)
 	case c.Kind == owner.Note && w.Ends:
 		delete(k.heard, c.Member)
+		k.agreed.Left(c.Member)
 		if k.mover != nil {
 			k.mover.Left(c.Member)
 		}
@@ -184,6 +185,7 @@
 	if _, known := k.heard[c.Member]; known || len(k.heard) < ring.MostMembers {
 		k.heard[c.Member] = now
 	}
+	k.agreed.Acknowledged(c.Member)
 	if k.mover != nil {
 		k.mover.Acknowledged(now, c.Member, w.Ack)
 	}
@@ -230,15 +232,8 @@
 			delete(k.heard, process)
 		}
 	}
-	if k.mover == nil {
-		return
-	}
-	k.mover.Tick(now)
-	if k.mover.Busy() || k.agreed.Moving != nil || len(k.want) == 0 {
-		return
-	}
-	if next, moves, _, err := k.agreed.Table.Plan(k.want, k.c.Band, nil); err == nil && (len(moves) > 0 || len(k.agreed.Table.Backends()) == 0) {
-		k.mover.Start(now, next, moves)
+	if k.mover != nil {
+		k.own(now)
 	}
 }
 
