--- a/internal/decide/roll/plan.go
+++ b/internal/decide/roll/plan.go
@@ -4,7 +4,6 @@
 package roll
 
 import (
-	"cmp"
 	"math"
 	"slices"
 )
@@ -25,7 +24,7 @@
 		if i.Silent || i.Leaving {
 			continue
 		}
-		now[n].Age = b.WarmAfter // as it will be when its turn comes
+		now[n].Age, now[n].Busy = b.WarmAfter, false // as it will be when its turn comes
 		if i.Release != want {
 			todo = append(todo, now[n])
 		}
@@ -34,18 +33,19 @@
 	if bound, err = b.bound(todo, zones); err != nil {
 		return nil, 0, err
 	}
-	for len(todo) > 0 {
-		wave := Wave{Have: map[string]float64{}}
-		names := b.choose(todo, zones, b.AtOnce, false)
-		todo = slices.DeleteFunc(todo, func(i Instance) bool { return slices.Contains(names, i.Name) })
-		wave.Names = names
-		for _, z := range zones {
-			wave.Have[z.name] = z.have
+	order := newOrder(todo, zones)
+	for len(order.todo) > 0 {
+		chosen := order.choose(b.AtOnce, false)
+		wave := Wave{Names: make([]string, len(chosen)), Have: make(map[string]float64, len(zones))}
+		for n, w := range chosen {
+			wave.Names[n] = w.Name
 		}
-		for _, i := range now {
-			if slices.Contains(names, i.Name) {
-				wave.Have[i.Zone] -= i.Capacity
-			}
+		for name, z := range zones {
+			wave.Have[name] = z.have
+		}
+		slices.SortFunc(chosen, func(x, y *waiting) int { return x.place - y.place })
+		for _, w := range chosen {
+			wave.Have[w.Zone] -= w.Capacity
 		}
 		waves = append(waves, wave)
 	}
@@ -85,38 +85,3 @@
 func (z *zone) spares(capacity, away float64, gone int) bool {
 	return away+capacity <= z.spare()*(1+1e-12) && z.up-gone > 1
 }
-
-// choose takes from todo what may go at once, at most so many; voting tells that a voter is away already. Zones that
-// need the most waves still come first, in a zone the largest, as they leave the smaller to fill up with; of equals by
-// name. The owner goes alone at the end, having handed on its duty.
-func (b Bounds) choose(todo []Instance, zones map[string]*zone, most int, voting bool) (names []string) {
-	need, away, gone := map[string]float64{}, map[string]float64{}, map[string]int{}
-	for _, i := range todo {
-		need[i.Zone] += i.Capacity / max(zones[i.Zone].spare(), 1e-9)
-	}
-	order := slices.SortedFunc(slices.Values(todo), func(x, y Instance) int {
-		return cmp.Or(-cmp.Compare(need[x.Zone], need[y.Zone]), -cmp.Compare(x.Capacity, y.Capacity), cmp.Compare(x.Name, y.Name))
-	})
-	// A voter is chosen first: they go one at a time, so one left out is a wave more.
-	slices.SortStableFunc(order, func(x, y Instance) int {
-		switch {
-		case x.Voter == y.Voter:
-			return 0
-		case x.Voter:
-			return -1
-		}
-		return 1
-	})
-	for _, i := range order {
-		if len(names) == most || i.Owner && len(todo) > 1 || i.Voter && voting || i.Busy {
-			continue
-		}
-		if z := zones[i.Zone]; z.spares(i.Capacity, away[i.Zone], gone[i.Zone]) {
-			away[i.Zone] += i.Capacity
-			gone[i.Zone]++
-			voting = voting || i.Voter
-			names = append(names, i.Name)
-		}
-	}
-	return names
-}
--- a/internal/decide/roll/step.go
+++ b/internal/decide/roll/step.go
@@ -100,24 +100,24 @@
 		}
 		return s
 	}
+	if onWay >= b.AtOnce {
+		s.Hold = fmt.Sprintf("%d on their way, at most %d", onWay, b.AtOnce)
+		return s
+	}
 	zones := b.zones(state, load)
-	names := b.choose(todo, zones, b.AtOnce-onWay, voting)
-	for _, i := range todo {
-		if slices.Contains(names, i.Name) {
-			s.Drain = append(s.Drain, i)
-		}
+	chosen := newOrder(todo, zones).choose(b.AtOnce-onWay, voting)
+	slices.SortFunc(chosen, func(x, y *waiting) int { return x.place - y.place })
+	for _, w := range chosen {
+		s.Drain = append(s.Drain, w.Instance)
 	}
-	if len(names) == 0 {
-		s.Hold = r.why(todo, zones, onWay, b)
+	if len(chosen) == 0 {
+		s.Hold = why(todo, zones)
 	}
 	return s
 }
 
 // why no one of todo may go now, in one line.
-func (r *Roll) why(todo []Instance, zones map[string]*zone, onWay int, b Bounds) string {
-	if onWay >= b.AtOnce {
-		return fmt.Sprintf("%d on their way, at most %d", onWay, b.AtOnce)
-	}
+func why(todo []Instance, zones map[string]*zone) string {
 	i := todo[0]
 	if z := zones[i.Zone]; !z.spares(i.Capacity, 0, 0) {
 		return fmt.Sprintf("zone %s has %.6g of capacity, expected %.6g and %.6g for %s", z.name, z.have, z.floor+z.largest, i.Capacity, i.Name)
