--- a/internal/lab/emu/owner.go
+++ b/internal/lab/emu/owner.go
@@ -134,6 +134,12 @@
 	}
 }
 
+// Entries are the log so far, in order.
+func (s *OwnerSim) Entries() []owner.Command { return s.log }
+
+// Now is the true time since the start.
+func (s *OwnerSim) Now() time.Duration { return s.now }
+
 // Flight is how many proposals are on their way.
 func (s *OwnerSim) Flight() int { return len(s.flight) }
 
--- /dev/null
+++ b/internal/lab/scale/decisions/decisions_test.go
@@ -0,0 +1,80 @@
+package decisions
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"thymechute/internal/lab/scale"
+)
+
+// timeless are the figures that a seed decides, without those of the clock and the heap.
+func timeless(r *scale.Result) map[string]float64 {
+	out := map[string]float64{}
+	keep := func(name string, value float64) {
+		if !strings.Contains(name, "_ms_") && !strings.Contains(name, "_heap_") {
+			out[name] = value
+		}
+	}
+	for name, value := range r.Single {
+		keep(name, value)
+	}
+	for _, s := range r.Series {
+		keep(s.Name, s.Points[len(s.Points)-1].Value)
+	}
+	return out
+}
+
+// At the tests' sizes every claim holds through every loss, and one seed gives one result.
+func TestTheSmallRunHoldsItsClaims(t *testing.T) {
+	var first map[string]float64
+	for range 2 {
+		r, err := Part{Small: true}.Run(context.Background(), scale.Options{Seed: 3})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(r.Faults) > 0 {
+			t.Fatalf("does not hold: %v", r.Faults)
+		}
+		now := timeless(r)
+		if first == nil {
+			first = now
+			continue
+		}
+		for name, value := range now {
+			if first[name] != value {
+				t.Errorf("%s: %g, then %g on the same seed", name, first[name], value)
+			}
+		}
+	}
+	if first["owner_entries_day"] == 0 || first["ring_freeze_entry_bytes"] == 0 || first["roll_20z_region_drains"] == 0 {
+		t.Errorf("figures are missing: %v", first)
+	}
+}
+
+func TestALossTakesWhatStandsTogether(t *testing.T) {
+	for _, zones := range []int{40, tenZones} {
+		l := Layout{Size: scale.TargetMembers, Zones: zones, Regions: scale.TargetRegions}
+		for n := range l.Size {
+			rack, zone, region := l.lose("rack", n), l.lose("zone", n), l.lose("region", n)
+			for _, loss := range []Loss{l.lose("machine", n), rack, zone, region} {
+				if !loss.takes(n) {
+					t.Fatalf("%d zones: %+v does not take %d", zones, loss, n)
+				}
+			}
+			if rack.From < zone.From || rack.To > zone.To || zone.From < region.From || zone.To > region.To {
+				t.Fatalf("%d zones, member %d: %+v, %+v, %+v do not lie in one another", zones, n, rack, zone, region)
+			}
+			if size := zone.To - zone.From; size != l.Size/zones {
+				t.Fatalf("%d zones: a zone of %d", zones, size)
+			}
+		}
+	}
+}
+
+// A process that joins the log is named in an entry with all others: the entry grows with the fleet.
+func TestAMembershipEntryNamesTheWholeFleet(t *testing.T) {
+	if few, many := membershipEntry(6), membershipEntry(1200); many < 150*few {
+		t.Errorf("%d bytes at 6, %d at 1,200", few, many)
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/decisions/voters.go
@@ -0,0 +1,157 @@
+// This file owns the choice of voters: timed, and played through losses at the pace at which the leader asks.
+
+package decisions
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/raft"
+
+	"thymechute/internal/decide/voters"
+)
+
+// As cmd/thymechute and internal/fleet/log have them with a lease of 2 s.
+const (
+	careEvery     = 250 * time.Millisecond
+	voterSettle   = 2 * time.Second
+	voterHoldDown = 4 * time.Second
+	mostCare      = 2 * time.Minute // played after a loss
+	quorumDraws   = 200             // orders of joining in which the regions' voters are counted; a tenth in the small run
+	wantedVoters  = 5
+)
+
+var voterBounds = voters.Bounds{Most: wantedVoters, Settle: voterSettle, HoldDown: voterHoldDown}
+
+// choice is a fleet with its voters.
+type choice struct {
+	l        Layout
+	members  []voters.Member
+	voters   []string
+	learners []string
+}
+
+// newChoice has chosen its voters one by one out of a fleet whose members joined in this order.
+func newChoice(l Layout, order []int) *choice {
+	p := &choice{l: l, members: make([]voters.Member, l.Size)}
+	for at, n := range order {
+		p.members[n] = voters.Member{Process: processName(n, 0), Zone: l.zoneName(n), Age: time.Hour + time.Duration(l.Size-at)*time.Second,
+			CaughtUp: true}
+	}
+	p.voters = []string{p.members[order[0]].Process}
+	for range 4 * wantedVoters {
+		p.ask()
+	}
+	return p
+}
+
+// ask is one of the leader's: at most one change, in force before the next.
+func (p *choice) ask() voters.Change {
+	c := voters.Next(p.members, p.voters, p.learners, false, voterBounds)
+	switch c.Kind {
+	case voters.Learn:
+		p.learners = []string{c.Process}
+	case voters.Vote:
+		p.learners, p.voters = nil, append(p.voters, c.Process)
+	case voters.Drop:
+		is := func(x string) bool { return x == c.Process }
+		p.learners, p.voters = slices.DeleteFunc(p.learners, is), slices.DeleteFunc(p.voters, is)
+	}
+	return c
+}
+
+// regions counts the voters by region.
+func (p *choice) regions() (most int) {
+	count := map[int]int{}
+	for n, m := range p.members {
+		if slices.Contains(p.voters, m.Process) {
+			count[p.l.region(n)]++
+			most = max(most, count[p.l.region(n)])
+		}
+	}
+	return most
+}
+
+func inOrder(n int) (order []int) {
+	for k := range n {
+		order = append(order, k)
+	}
+	return order
+}
+
+func measureVoters(c *collector, l Layout) error {
+	p := newChoice(l, inOrder(l.Size))
+	if len(p.voters) != wantedVoters {
+		c.result.Fault("voters: %d of %d chosen among %d", len(p.voters), wantedVoters, l.Size)
+	}
+	p.members[slices.IndexFunc(p.members, func(m voters.Member) bool { return m.Process == p.voters[4] })].SilentFor = time.Minute
+	c.timing("voters", "log_leader", l.Size, func(int) { voters.Next(p.members, p.voters, nil, false, voterBounds) })
+	c.point("log_membership_entry_bytes", "log_leader", 0, l.Size, float64(membershipEntry(l.Size)))
+	return nil
+}
+
+// membershipEntry is the bytes of one entry by which a process joins or leaves the log: raft puts all servers into it.
+func membershipEntry(size int) int {
+	servers := make([]raft.Server, size)
+	for n := range servers {
+		process := processName(n, 0)
+		address := fmt.Sprintf("10.20.%d.%d:7947/%s", n/250, n%250, process)
+		servers[n] = raft.Server{Suffrage: raft.Nonvoter, ID: raft.ServerID(process), Address: raft.ServerAddress(address)}
+	}
+	return len(raft.EncodeConfiguration(raft.Configuration{Servers: servers}))
+}
+
+// loseVoters plays each loss that takes the first voter, and counts the orders of joining in which a region has a quorum.
+func loseVoters(c *collector, l Layout) error {
+	r := chance(c.seed, 0x707e)
+	for _, kind := range lossKinds {
+		p := newChoice(l, r.Perm(l.Size))
+		first := slices.IndexFunc(p.members, func(m voters.Member) bool { return m.Process == p.voters[0] })
+		c.replaced("voters_"+l.label()+"_"+kind, p, l.lose(kind, first))
+	}
+	quorums := 0
+	draws := quorumDraws
+	if c.samples == fewSamples {
+		draws /= 10
+	}
+	for range draws {
+		if quorumInOneRegion(l, r) {
+			quorums++
+		}
+	}
+	c.result.Put("voters_"+l.label()+"_region_with_quorum_part", float64(quorums)/float64(draws))
+	return nil
+}
+
+func quorumInOneRegion(l Layout, r *rand.Rand) bool {
+	return newChoice(l, r.Perm(l.Size)).regions() >= voters.Quorum(wantedVoters)
+}
+
+// replaced asks until all voters are heard of again, and says how many changes and how long that took.
+func (c *collector) replaced(name string, p *choice, loss Loss) {
+	lost, changes, took := 0, 0, time.Duration(0)
+	for n := range p.members {
+		if loss.takes(n) && slices.Contains(p.voters, p.members[n].Process) {
+			lost++
+		}
+	}
+	for now := careEvery; now < mostCare; now += careEvery {
+		for n := range p.members {
+			if loss.takes(n) {
+				p.members[n].SilentFor = now
+			}
+		}
+		if p.ask().Kind != voters.None {
+			changes++
+			took = now
+		}
+	}
+	c.result.Put(name+"_voters_lost", float64(lost))
+	c.result.Put(name+"_changes", float64(changes))
+	c.result.Put(name+"_s", took.Seconds())
+	if lost >= voters.Quorum(wantedVoters) {
+		c.result.Put(name+"_quorum_lost", 1)
+	}
+}
