Voters: spread over the regions before the zones, so that a region lost leaves a quorum

A member may name its Region now; voters go to the region with the fewest, then to such a zone, and one is swapped only where no later swap undoes it (a rapid test: it rests, is even, replaces those of a lost region and is even again after).

Where no region is named the choice is what it was: a digest of 300 seeded fleets' changes, taken from the code before, holds. The records name a zone alone yet, so the program goes on as before.

Tried without the mend: both region tests fail; without the guard on swaps: no rest. zonesOf in the old tests counts by itself now (the function it called is gone); what it checks is the same.

--- a/internal/decide/voters/voters.go
+++ b/internal/decide/voters/voters.go
@@ -1,5 +1,5 @@
-// Package voters decides who of the fleet votes in the agreed log: three or five members over as many zones as there
-// are, changed one at a time. It owns that choice and must never do I/O, read a clock, start a goroutine or draw chance.
+// Package voters decides who of the fleet votes in the agreed log: three or five members, spread evenly over the regions
+// and over as many zones as there are, changed one at a time. It owns that choice and must never do I/O, read a clock, start a goroutine or draw chance.
 // Whoever leads the log asks it after each change of the view and each change that has come into force.
 //
 // A voter is a process, not a name: one that starts cold without its log under a name that has voted is another
@@ -20,6 +20,7 @@
 type Member struct {
 	Process   string // unique in a life
 	Zone      string
+	Region    string        // several zones that may be lost together; "" where none is known
 	Age       time.Duration // since it joined
 	SilentFor time.Duration // 0: heard of
 	Leaving   bool          // it has been told to drain
@@ -65,6 +66,7 @@
 	heard            int      // voters heard of now
 	able             []Member // who may vote, voters among them
 	want             int
+	lie              spread // how the good ones lie
 }
 
 // Next is the next change, one at a time: pending tells that the last is not in force yet.
@@ -124,6 +126,7 @@
 	slices.SortStableFunc(c.bad, func(x, y string) int {
 		return cmp.Compare(c.silence(y), c.silence(x))
 	})
+	c.lie = c.spread()
 	// By how large the fleet is, the silent ones included until they leave or are forgotten: fewer voters because one
 	// has fallen silent would bear less just when more is to be borne.
 	c.want = 1
@@ -152,31 +155,11 @@
 	return out
 }
 
-// zones counts those given by zone.
-func (c *choice) zones(of []string) map[string]int {
-	out := map[string]int{}
-	for _, v := range of {
-		out[c.members[v].Zone]++
-	}
-	return out
-}
-
-// wider tells whether a voter of this zone would put the voters over more zones than they are.
-func (c *choice) wider(zone string) bool {
-	zones := c.zones(c.good)
-	return zones[zone] == 0 && len(zones) < c.want && len(c.good) > len(zones)
-}
-
-// needed tells whether one more voter of this zone is wanted at all.
-func (c *choice) needed(zone string) bool {
-	return len(c.good) < c.want || len(c.voters) <= c.want && c.wider(zone)
-}
-
 // promote makes a learner that has caught up a voter, where the grown set has its quorum without it too.
 func (c *choice) promote() (Change, bool) {
 	for _, l := range c.learners {
 		m := c.members[l]
-		if m.SilentFor > 0 || !m.CaughtUp || !c.needed(m.Zone) {
+		if m.SilentFor > 0 || !m.CaughtUp || !c.needed(m) {
 			continue
 		}
 		if c.thin() {
@@ -194,14 +177,14 @@
 func (c *choice) ready() bool {
 	return slices.ContainsFunc(c.learners, func(l string) bool {
 		m := c.members[l]
-		return m.SilentFor == 0 && m.CaughtUp && c.needed(m.Zone)
+		return m.SilentFor == 0 && m.CaughtUp && c.needed(m)
 	})
 }
 
-// drop takes one out where there are more than wanted, or a dead one stands in its successor's way: a bad one first, else the youngest of the fullest zone; and
-// never where the smaller set would lack its quorum.
+// drop takes one out where there are more than wanted, or a dead one stands in its successor's way: a bad one first, else
+// the youngest of the fullest zone of the fullest region; and never where the smaller set would lack its quorum.
 func (c *choice) drop() (Change, bool) {
-	if len(c.learners) > 0 && !slices.ContainsFunc(c.learners, func(l string) bool { return c.needed(c.members[l].Zone) }) {
+	if len(c.learners) > 0 && !slices.ContainsFunc(c.learners, func(l string) bool { return c.needed(c.members[l]) }) {
 		return Change{Drop, c.learners[0], "a learner that is not needed any more"}, true
 	}
 	if inTheWay := len(c.bad) > 0 && c.thin() && c.ready(); len(c.voters) <= c.want && !inTheWay || len(c.voters) == 1 {
@@ -211,10 +194,10 @@
 	if len(c.bad) > 0 {
 		who, why = c.bad[0], "a voter that is gone, or leaves, has been replaced"
 	} else if len(c.good) > c.want {
-		zones := c.zones(c.good)
+		s := c.lie
 		for _, v := range c.good {
-			if m, best := c.members[v], c.members[who]; who == "" || cmp.Or(cmp.Compare(zones[m.Zone], zones[best.Zone]),
-				-cmp.Compare(m.Age, best.Age), cmp.Compare(v, who)) > 0 {
+			if m, best := c.members[v], c.members[who]; who == "" || cmp.Or(cmp.Compare(s.regions[m.Region], s.regions[best.Region]),
+				cmp.Compare(s.zones[m.Zone], s.zones[best.Zone]), -cmp.Compare(m.Age, best.Age), cmp.Compare(v, who)) > 0 {
 				who = v
 			}
 		}
@@ -232,17 +215,18 @@
 	return Change{Drop, who, why}, true
 }
 
-// learn picks the next voter: of the zone with the fewest good ones, the oldest.
+// learn picks the next voter: of the region with the fewest good ones, and there of such a zone, the oldest.
 func (c *choice) learn() Change {
 	if len(c.learners) > 0 {
 		return Change{Why: c.learners[0] + " has not caught up, or the quorum is too thin for one more"}
 	}
-	zones, who := c.zones(c.good), ""
+	s, who := c.lie, ""
 	for _, m := range c.able { // the oldest first
-		if slices.Contains(c.voters, m.Process) || !c.needed(m.Zone) {
+		if slices.Contains(c.voters, m.Process) || !c.needed(m) {
 			continue
 		}
-		if who == "" || zones[m.Zone] < zones[c.members[who].Zone] {
+		if best := c.members[who]; who == "" || cmp.Or(cmp.Compare(s.regions[m.Region], s.regions[best.Region]),
+			cmp.Compare(s.zones[m.Zone], s.zones[best.Zone])) < 0 {
 			who = m.Process
 		}
 	}
