--- a/internal/decide/ring/plan.go
+++ b/internal/decide/ring/plan.go
@@ -73,12 +73,13 @@
 		}
 	}
 	heirs, wants := make([]int16, len(loose)), make([]int, len(sorted))
+	heirOf := t.heirsAmong(place)
 	for k, s := range loose {
 		heirs[k] = nobody
 		if t.slots[s] == nobody {
 			continue
 		}
-		if b, ok := t.heirAmong(s, place); ok {
+		if b, ok := heirOf(s); ok {
 			heirs[k] = place[b]
 			wants[place[b]]++
 		}
@@ -109,6 +110,58 @@
 	return next, moves, least, nil
 }
 
+// survivors are the backends that still have a place, side by side for a plan that looks for many heirs.
+type survivors struct {
+	hash []uint64
+	zone []int32
+	at   []int32 // among all
+}
+
+// heirsAmong is heirAmong for the slots of backends that have no place any more, made for many slots. Where all weights
+// are alike it compares the hashes themselves.
+func (t *Table) heirsAmong(place []int16) func(slot int) (best int, ok bool) {
+	if !t.alike {
+		return func(slot int) (int, bool) { return t.heirAmong(slot, place) }
+	}
+	var s survivors
+	for n := range t.backends {
+		if place[n] != nobody {
+			s.hash = append(s.hash, t.backends[n].hash)
+			s.zone = append(s.zone, int32(t.backends[n].zone))
+			s.at = append(s.at, int32(n))
+		}
+	}
+	return func(slot int) (int, bool) {
+		if best, ok := s.elsewhere(slot, int32(t.backends[t.slots[slot]].zone)); ok {
+			return best, true
+		}
+		return t.heirAmong(slot, place) // nobody is left in another zone
+	}
+}
+
+// elsewhere is the survivor of another zone with the highest score, the first of equals, as Backend.score has it.
+func (s *survivors) elsewhere(slot int, zone int32) (best int, ok bool) {
+	salt := (uint64(slot) + 1) * 0x9e3779b97f4a7c15
+	most, at := uint64(0), -1
+	zones := s.zone[:len(s.hash)]
+	for n, h := range s.hash {
+		h ^= salt
+		h ^= h >> 33
+		h *= 0xff51afd7ed558ccd
+		h ^= h >> 33
+		if h >>= 11; h < most || zones[n] == zone {
+			continue
+		}
+		if at < 0 || float64(h)+0.5 > float64(most)+0.5 {
+			most, at = h, n
+		}
+	}
+	if at < 0 {
+		return -1, false
+	}
+	return int(s.at[at]), true
+}
+
 // alike tells whether all weights are the same.
 func alike(backends []Backend) bool {
 	return !slices.ContainsFunc(backends, func(b Backend) bool { return b.Weight != backends[0].Weight })
