--- a/internal/lab/scale/decisions/day.go
+++ b/internal/lab/scale/decisions/day.go
@@ -11,6 +11,8 @@
 	restarts         = 5400
 	drainedInRelease = scale.TargetMembers / 2 // one release a day
 	secondsPerDay    = 86400
+	// A member's record says anew how far it has applied the log after so many entries (cmd/thymechute, tellLag).
+	entriesPerRecord = 16
 	// A failed machine's backend goes, and comes back by its pace in six plans (docs/ring.md).
 	plansPerBackendFailure = 7
 )
@@ -33,6 +35,8 @@
 	c.dayOf("ring_acknowledgements", acknowledged*secondsPerDay, bytes)
 	hour := 2 * drainedInRelease * share * c.last("log_membership_entry_bytes") / 3600
 	c.result.Put("release_hour_membership_bytes_s_member", hour)
+	c.result.Put("log_membership_entry_bytes_control_alone", float64(membershipEntry(scale.TargetControl)))
+	c.result.Put("applied_record_changes_s_fleet", renewals/secondsPerDay/entriesPerRecord*float64(largest))
 }
 
 func (c *collector) dayOf(name string, entries, bytesEach float64) {
