Subset: a name claimed twice counts once, also where another joined in between

The doubled name was dropped only beside its first claim in the order of joining; with another between, it took two ranks, of which one was nobody's. The test fails without the mend.

--- a/internal/decide/subset/subset.go
+++ b/internal/decide/subset/subset.go
@@ -37,7 +37,12 @@
 	slices.SortStableFunc(order, func(a, b Claim) int {
 		return cmp.Or(cmp.Compare(a.Since, b.Since), cmp.Compare(a.Name, b.Name))
 	})
-	order = slices.CompactFunc(order, func(a, b Claim) bool { return a.Name == b.Name })
+	known := make(map[string]bool, len(order))
+	order = slices.DeleteFunc(order, func(c Claim) bool {
+		twice := known[c.Name]
+		known[c.Name] = true
+		return twice
+	})
 	n := len(order)
 	ranks := make(Ranks, n)
 	held := make([]bool, n)
--- a/internal/decide/subset/subset_test.go
+++ b/internal/decide/subset/subset_test.go
@@ -15,6 +15,14 @@
 	}
 }
 
+// A name that is claimed twice counts once, as it joined first: also where another joined in between.
+func TestANameClaimedTwiceCountsOnce(t *testing.T) {
+	got := Rank([]Claim{{"a", 0, 5}, {"b", 1, 2}, {"a", 0, 1}, {"c", -1, 3}})
+	if want := (Ranks{"a": 0, "b": 1, "c": 2}); !maps(got, want) {
+		t.Fatalf("ranks %v, want %v", got, want)
+	}
+}
+
 func maps(a, b Ranks) bool {
 	if len(a) != len(b) {
 		return false
