--- a/internal/lab/scale/decisions/voters.go
+++ b/internal/lab/scale/decisions/voters.go
@@ -159,7 +159,9 @@
 	c.result.Put(name+"_voters_lost", float64(lost))
 	c.result.Put(name+"_changes", float64(changes))
 	c.result.Put(name+"_s", took.Seconds())
+	quorumLost := 0.0
 	if lost >= voters.Quorum(wantedVoters) {
-		c.result.Put(name+"_quorum_lost", 1)
+		quorumLost = 1
 	}
+	c.result.Put(name+"_quorum_lost", quorumLost)
 }
