Stand-in of the runtime tells what each run took

What an instance adds to a request is its latency less its run time; the timers of the stand-in end late on a busy machine, so that the planned time is not the run time.

--- a/internal/stand/runtime/runtime.go
+++ b/internal/stand/runtime/runtime.go
@@ -29,6 +29,7 @@
 type Runtime struct {
 	work    Work
 	started func(band string, body []byte) // told of every run, in order
+	ended   func(body []byte, took time.Duration)
 
 	mu      sync.Mutex
 	listen  net.Listener
@@ -69,6 +70,14 @@
 	return r, l.Addr().String(), nil
 }
 
+// Ended tells from now on of every run that ended by itself, just before its notice is written: its body, and the time since its
+// start was read. It is called in turn, and must not block.
+func (r *Runtime) Ended(ended func(body []byte, took time.Duration)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = ended
+}
+
 // Close ends it with all its runs.
 func (r *Runtime) Close() {
 	r.mu.Lock()
@@ -147,7 +156,9 @@
 		}
 		r.started(m.Handler, m.Bytes)
 		span, result := r.work(m.Handler, m.Bytes)
+		began := time.Now()
 		if span <= 0 {
+			r.tellEnd(m.Bytes, began)
 			r.end(m.Task, "good", 0, result)
 			return
 		}
@@ -156,6 +167,7 @@
 			defer r.mu.Unlock()
 			if r.runs[m.Task] != nil && !r.closed {
 				delete(r.runs, m.Task)
+				r.tellEnd(m.Bytes, began)
 				r.end(m.Task, "good", span, result)
 				if r.out != nil {
 					_ = r.out.Flush()
@@ -175,6 +187,12 @@
 	}
 }
 
+func (r *Runtime) tellEnd(body []byte, began time.Time) {
+	if r.ended != nil {
+		r.ended(body, time.Since(began))
+	}
+}
+
 // end is a notice, kept for a link that may have missed it.
 func (r *Runtime) end(task, how string, took time.Duration, result []byte) {
 	r.index++
