Scale, part instance: start, memory, reload, added latency, connections and reports of one program

The real program as a process beside stand-ins of its runtime and of the catalog. A route is a class (a method). A limit's change is seen acting by a probe: what goes beyond a limit is worth nothing by these settings, so it is rejected. Every wait is bounded: a reload without a word in 10 s ends its row and is reported.

--- a/cmd/thymelab/scale.go
+++ b/cmd/thymelab/scale.go
@@ -12,11 +12,13 @@
 
 	"github.com/spf13/cobra"
 
+	"thymechute/internal/lab"
 	"thymechute/internal/lab/scale"
+	"thymechute/internal/lab/scale/instance"
 )
 
 // scaleParts are the measurements, in the order in which they run.
-var scaleParts = []scale.Part{}
+var scaleParts = []scale.Part{instance.New()}
 
 const scaleTime = 15 * time.Minute // of one part, at the most
 
@@ -44,6 +46,14 @@
 }
 
 func runPart(c *cobra.Command, part scale.Part, seed uint64, asJSON bool) error {
+	executable, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	program, err := lab.ProgramBeside(executable)
+	if err != nil {
+		return err
+	}
 	folder, err := os.MkdirTemp("", "thymelab")
 	if err != nil {
 		return err
@@ -52,7 +62,7 @@
 	ctx, cancel := context.WithTimeout(c.Context(), scaleTime)
 	defer cancel()
 	progress := func(line string) { fmt.Fprintln(c.ErrOrStderr(), line) }
-	result, err := part.Run(ctx, scale.Options{Seed: seed, Folder: folder, Progress: progress})
+	result, err := part.Run(ctx, scale.Options{Seed: seed, Folder: folder, Program: program, Progress: progress})
 	if err != nil {
 		return fmt.Errorf("scale, part %s: %w", part.Name(), err)
 	}
--- /dev/null
+++ b/internal/lab/scale/instance/script.go
@@ -0,0 +1,227 @@
+// This file owns the script that each row goes through: the order of its loads and reloads.
+
+package instance
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+)
+
+// script is one row on its way. The two texts are the whole file before and after the change of one tenant or class.
+type script struct {
+	m       *measuring
+	rig     *rig
+	probe   *probe
+	row     *row
+	texts   [2][]byte
+	limited [2]bool // whether the last tenant's limit acts, by text
+	now     int     // the text in force
+	reloads int
+}
+
+func (s *script) prepare(change func(*deployment)) (err error) {
+	before, after := s.rig.deployment, s.rig.deployment
+	change(&after)
+	s.limited = [2]bool{before.limited, after.limited}
+	if s.texts[0], err = before.text(); err != nil {
+		return err
+	}
+	s.texts[1], err = after.text()
+	s.row.fileBytes = len(s.texts[0])
+	return err
+}
+
+func (s *script) run(loaded bool) error {
+	_, err := s.probe.until(s.m.ctx, true, startProbe)
+	s.row.limitAtStart = err == nil
+	if loaded {
+		if err := s.quietLoads(); err != nil {
+			return err
+		}
+	}
+	if err := s.firstReload(); err != nil || !s.row.whole() {
+		return err
+	}
+	steps := []func() error{s.probedReloads, s.manyReloads, s.oddFiles}
+	if loaded {
+		steps = []func() error{s.probedReloads, s.reloadingLoads, s.manyReloads, s.oddFiles}
+	}
+	for _, step := range steps {
+		if err := step(); err != nil || !s.row.whole() {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *script) quietLoads() error {
+	for _, rate := range s.m.sizes.rates {
+		a, err := s.rig.load(s.m.ctx, rate, s.m.sizes.quiet, s.m.seed())
+		if err != nil {
+			return err
+		}
+		s.row.quiet[rate] = a.all()
+		s.row.unserved += a.unserved()
+		s.row.sent += len(a.samples)
+		s.row.late = max(s.row.late, a.samples.Lateness().At(99))
+	}
+	return nil
+}
+
+// other is the text that is not in force.
+func (s *script) other() []byte { return s.texts[1-s.now] }
+
+// took counts a reload, and ends the row where it was not taken.
+func (s *script) took(one reload) {
+	s.reloads++
+	switch one.outcome {
+	case taken:
+		s.now = 1 - s.now
+	case silent:
+		s.row.fault = fmt.Sprintf("no word of a reload in %v", reloadLimit)
+	case refused:
+		s.row.fault = fmt.Sprintf("a reload was refused after %.0f ms", one.took())
+	}
+	if one.outcome == taken && one.took() > milliseconds(slowReload) {
+		s.row.fault = fmt.Sprintf("a reload took %.0f ms", one.took())
+	}
+}
+
+// firstReload is made beside a load, so that what waits for it is seen also where it is never taken.
+func (s *script) firstReload() (err error) {
+	var a added
+	done := make(chan error, 1)
+	go func() {
+		var err error
+		a, err = s.rig.load(s.m.ctx, reloadRate, s.m.sizes.single, s.m.seed())
+		done <- err
+	}()
+	time.Sleep(s.m.sizes.single / beforePart)
+	s.row.first, err = s.rig.put(s.m.ctx, s.other())
+	if loadErr := <-done; err == nil {
+		err = loadErr
+	}
+	if err != nil {
+		return err
+	}
+	s.took(s.row.first)
+	s.row.waits = a.beside([]reload{s.row.first})
+	s.row.resident1, err = s.rig.resident()
+	return err
+}
+
+// probedReloads goes back and forth with a probe that shows each change acting.
+func (s *script) probedReloads() error {
+	for s.reloads < probed {
+		acting := make(chan error, 1)
+		var at time.Time
+		begin := time.Now()
+		if s.limited[0] != s.limited[1] {
+			wanted := s.limited[1-s.now]
+			go func() {
+				var err error
+				at, err = s.probe.until(s.m.ctx, wanted, reloadLimit)
+				acting <- err
+			}()
+		} else {
+			at = begin
+			acting <- nil
+		}
+		one, err := s.rig.put(s.m.ctx, s.other())
+		if probeErr := <-acting; err == nil && one.outcome == taken {
+			err = probeErr
+		}
+		if err != nil {
+			return err
+		}
+		if s.took(one); !s.row.whole() {
+			return nil
+		}
+		s.row.logged = append(s.row.logged, one.took())
+		s.row.inForce = append(s.row.inForce, max(one.took(), milliseconds(at.Sub(one.sent))))
+	}
+	var err error
+	s.row.resident5, err = s.rig.resident()
+	return err
+}
+
+// reloadingLoads has a reload each second beside each load.
+func (s *script) reloadingLoads() error {
+	for _, rate := range s.m.sizes.rates {
+		var a added
+		done := make(chan error, 1)
+		go func() {
+			var err error
+			a, err = s.rig.load(s.m.ctx, rate, s.m.sizes.reloading, s.m.seed())
+			done <- err
+		}()
+		reloads, err := s.rig.every(s.m.ctx, reloadsEach, s.m.sizes.reloading-reloadsEach/2, [2][]byte{s.other(), s.texts[s.now]})
+		if loadErr := <-done; err == nil {
+			err = loadErr
+		}
+		if err != nil {
+			return err
+		}
+		for _, one := range reloads {
+			s.took(one)
+		}
+		s.row.reloading[rate] = a.all()
+		s.row.waits.Merge(a.beside(reloads))
+		s.row.late = max(s.row.late, a.samples.Lateness().At(99))
+	}
+	return nil
+}
+
+// manyReloads goes on to the last of them with nothing beside them, and takes the processor time of one.
+func (s *script) manyReloads() error {
+	before, from := s.rig.processor(), s.reloads
+	for s.reloads < s.m.sizes.reloads {
+		one, err := s.rig.put(s.m.ctx, s.other())
+		if err != nil {
+			return err
+		}
+		if s.took(one); !s.row.whole() {
+			return nil
+		}
+	}
+	s.row.processor = milliseconds(s.rig.processor()-before) / float64(s.reloads-from)
+	var err error
+	s.row.resident20, err = s.rig.resident()
+	return err
+}
+
+// oddFiles puts a file that is the same, and one that is cut off, beside a load.
+func (s *script) oddFiles() (err error) {
+	var a added
+	done := make(chan error, 1)
+	go func() {
+		var err error
+		a, err = s.rig.load(s.m.ctx, reloadRate, s.m.sizes.single, s.m.seed())
+		done <- err
+	}()
+	time.Sleep(s.m.sizes.single / beforePart)
+	if s.row.same, err = s.rig.put(s.m.ctx, s.texts[s.now]); err == nil {
+		s.row.faulty, err = s.rig.put(s.m.ctx, bytes.TrimSuffix(s.texts[1-s.now], []byte("}")))
+	}
+	if loadErr := <-done; err == nil {
+		err = loadErr
+	}
+	if err != nil {
+		return err
+	}
+	s.row.oddWaits = a.beside([]reload{s.row.same, s.row.faulty})
+	return s.checkOdd()
+}
+
+// checkOdd: a faulty file is refused whole, and the limit of before goes on.
+func (s *script) checkOdd() error {
+	if s.row.same.outcome != taken || s.row.faulty.outcome != refused {
+		s.m.result.Fault("%d tenants, %d classes: a file that is the same: %q; a faulty one: %q", s.row.tenants, s.row.classes,
+			s.row.same.line, s.row.faulty.line)
+	}
+	if _, err := s.probe.until(s.m.ctx, s.limited[s.now], startProbe); err != nil {
+		s.m.result.Fault("%d tenants, %d classes: after a faulty file: %v", s.row.tenants, s.row.classes, err)
+	}
+	return nil
+}
--- a/internal/stand/stub/figures.go
+++ b/internal/stand/stub/figures.go
@@ -66,3 +66,6 @@
 	}
 	return count
 }
+
+// Merge adds all times of the other.
+func (d *Distribution) Merge(other *Distribution) { d.counts.Merge(other.counts) }
