--- a/internal/lab/scale/instance/figures.go
+++ b/internal/lab/scale/instance/figures.go
@@ -20,29 +20,37 @@
 	boundLongestMillis = 20
 )
 
-// figure is one value of a row; ok tells whether the row has it.
+// figure is one value of a row; one that needs all of the script is had only where no reload ended it early.
 type figure struct {
 	name  string
 	bound float64
-	value func(*row) (value float64, ok bool)
+	whole bool
+	value func(*row) float64
+}
+
+func (f figure) of(r *row) (value float64, ok bool) {
+	if f.whole && !r.whole() {
+		return 0, false
+	}
+	return f.value(r), true
 }
 
 var rowFigures = []figure{
-	{"file_bytes", 0, func(r *row) (float64, bool) { return float64(r.fileBytes), true }},
-	{"start_ms", boundStartMillis, func(r *row) (float64, bool) { return r.start, true }},
-	{"resident_mb_start", boundResidentMB, func(r *row) (float64, bool) { return r.residentStart, true }},
-	{"resident_mb_1_reload", boundPeakMB, func(r *row) (float64, bool) { return r.resident1, r.whole() }},
-	{"resident_mb_5_reloads", boundPeakMB, func(r *row) (float64, bool) { return r.resident5, r.whole() }},
-	{"resident_mb_20_reloads", boundPeakMB, func(r *row) (float64, bool) { return r.resident20, r.whole() }},
-	{"resident_mb_peak", boundPeakMB, func(r *row) (float64, bool) { return r.peak, true }},
-	{"reload_logged_ms_worst", boundReloadMillis, func(r *row) (float64, bool) { return slices.Max(r.logged), r.whole() }},
-	{"reload_in_force_ms_worst", boundReloadMillis, func(r *row) (float64, bool) { return slices.Max(r.inForce), r.whole() }},
-	{"reload_wait_p99_ms", scale.TargetAddedMillis, func(r *row) (float64, bool) { return milliseconds(r.waits.At(99)), true }},
-	{"reload_wait_longest_ms", boundLongestMillis, func(r *row) (float64, bool) { return milliseconds(r.waits.Longest()), true }},
-	{"reload_processor_ms", 0, func(r *row) (float64, bool) { return r.processor, r.whole() }},
-	{"same_file_ms", 0, func(r *row) (float64, bool) { return r.same.took(), r.whole() }},
-	{"faulty_file_ms", 0, func(r *row) (float64, bool) { return r.faulty.took(), r.whole() }},
-	{"odd_files_wait_longest_ms", boundLongestMillis, func(r *row) (float64, bool) { return milliseconds(r.oddWaits.Longest()), r.whole() }},
+	{"file_bytes", 0, false, func(r *row) float64 { return float64(r.fileBytes) }},
+	{"start_ms", boundStartMillis, false, func(r *row) float64 { return r.start }},
+	{"resident_mb_start", boundResidentMB, false, func(r *row) float64 { return r.residentStart }},
+	{"resident_mb_1_reload", boundPeakMB, true, func(r *row) float64 { return r.resident1 }},
+	{"resident_mb_5_reloads", boundPeakMB, true, func(r *row) float64 { return r.resident5 }},
+	{"resident_mb_20_reloads", boundPeakMB, true, func(r *row) float64 { return r.resident20 }},
+	{"resident_mb_peak", boundPeakMB, false, func(r *row) float64 { return r.peak }},
+	{"reload_logged_ms_worst", boundReloadMillis, true, func(r *row) float64 { return slices.Max(r.logged) }},
+	{"reload_in_force_ms_worst", boundReloadMillis, true, func(r *row) float64 { return slices.Max(r.inForce) }},
+	{"reload_wait_p99_ms", scale.TargetAddedMillis, false, func(r *row) float64 { return milliseconds(r.waits.At(99)) }},
+	{"reload_wait_longest_ms", boundLongestMillis, false, func(r *row) float64 { return milliseconds(r.waits.Longest()) }},
+	{"reload_processor_ms", 0, true, func(r *row) float64 { return r.processor }},
+	{"same_file_ms", 0, true, func(r *row) float64 { return r.same.took() }},
+	{"faulty_file_ms", 0, true, func(r *row) float64 { return r.faulty.took() }},
+	{"odd_files_wait_longest_ms", boundLongestMillis, true, func(r *row) float64 { return milliseconds(r.oddWaits.Longest()) }},
 }
 
 func (m *measuring) tenants() error {
@@ -92,7 +100,7 @@
 	m.sayRow(r)
 	m.noteRow(r)
 	for _, f := range rowFigures {
-		if value, ok := f.value(r); ok {
+		if value, ok := f.of(r); ok {
 			m.result.Put("together_"+f.name, value)
 		}
 	}
@@ -121,7 +129,7 @@
 	for _, f := range rowFigures {
 		s := scale.Series{Name: f.name, Of: of, Target: target, Bound: f.bound}
 		for _, r := range rows {
-			if value, ok := f.value(r); ok {
+			if value, ok := f.of(r); ok {
 				s.Points = append(s.Points, scale.Point{Size: float64(size(r)), Value: value})
 			}
 		}
--- a/internal/lab/scale/instance/instance_test.go
+++ b/internal/lab/scale/instance/instance_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"thymechute/internal/lab/scale"
+	"thymechute/internal/stand/stub"
 	"thymechute/internal/testkit"
 )
 
@@ -130,3 +131,34 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// Rows that a reload ended early give what they have: the longest wait as a series, a fault each, and no figure that was not had.
+func TestRowsEndedEarly(t *testing.T) {
+	m := &measuring{sizes: small(), result: &scale.Result{}}
+	var rows []*row
+	for n, fault := range []string{"", "", "a reload was refused", "no word"} {
+		r := &row{tenants: 1000 * (n + 1), fault: fault, waits: stub.NewDistribution()}
+		r.waits.Add(time.Duration(n+1) * time.Second)
+		if r.whole() {
+			r.logged, r.inForce, r.oddWaits = []float64{5, 7}, []float64{6, 9}, stub.NewDistribution()
+		}
+		rows = append(rows, r)
+	}
+	if err := m.addRows(rows, "tenants", scale.TargetTenants, func(r *row) int { return r.tenants }); err != nil {
+		t.Fatal(err)
+	}
+	if len(m.result.Faults) != 2 || !strings.Contains(m.result.Faults[1], "4000 tenants, 0 routes: no word; the longest wait 4") {
+		t.Errorf("%q", m.result.Faults)
+	}
+	for _, s := range m.result.Series {
+		if s.Name == "reload_in_force_ms_worst" || s.Name == "reload_wait_longest_ms" && len(s.Points) != 4 {
+			t.Errorf("%+v", s)
+		}
+	}
+	if worst := m.result.Single["reload_in_force_ms_worst_at_2000_tenants"]; worst != 9 {
+		t.Errorf("in force at 2000: %g", worst)
+	}
+	if _, ok := m.result.Single["reload_in_force_ms_worst_at_3000_tenants"]; ok {
+		t.Error("a reload that was refused counts as in force")
+	}
+}
