--- a/cmd/thymelab/experiment.go
+++ b/cmd/thymelab/experiment.go
@@ -83,11 +83,7 @@
 // withProgram is a run that starts the program which stands beside thymelab, in a folder of its own that is removed after it.
 func withProgram(run func(program, folder string, seed uint64, size int, progress func(string)) (*lab.Report, error)) func(trial) (*lab.Report, error) {
 	return func(t trial) (*lab.Report, error) {
-		executable, err := os.Executable()
-		if err != nil {
-			return nil, err
-		}
-		program, err := rig.ProgramBeside(executable)
+		program, err := programBeside()
 		if err != nil {
 			return nil, err
 		}
@@ -99,3 +95,12 @@
 		return run(program, folder, t.seed, t.size, t.progress)
 	}
 }
+
+// programBeside is the path of the program that stands beside thymelab.
+func programBeside() (string, error) {
+	executable, err := os.Executable()
+	if err != nil {
+		return "", err
+	}
+	return rig.ProgramBeside(executable)
+}
--- a/cmd/thymelab/scale.go
+++ b/cmd/thymelab/scale.go
@@ -12,7 +12,6 @@
 
 	"github.com/spf13/cobra"
 
-	"thymechute/internal/lab"
 	"thymechute/internal/lab/scale"
 	"thymechute/internal/lab/scale/instance"
 )
@@ -46,11 +45,7 @@
 }
 
 func runPart(c *cobra.Command, part scale.Part, seed uint64, asJSON bool) error {
-	executable, err := os.Executable()
-	if err != nil {
-		return err
-	}
-	program, err := lab.ProgramBeside(executable)
+	program, err := programBeside()
 	if err != nil {
 		return err
 	}
--- a/internal/lab/scale/instance/figures.go
+++ b/internal/lab/scale/instance/figures.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 
@@ -32,7 +33,16 @@
 	if f.whole && !r.whole() {
 		return 0, false
 	}
-	return f.value(r), true
+	value = f.value(r)
+	return value, !math.IsNaN(value)
+}
+
+// worst is the largest; not a number where there is none.
+func worst(values []float64) float64 {
+	if len(values) == 0 {
+		return math.NaN()
+	}
+	return slices.Max(values)
 }
 
 var rowFigures = []figure{
@@ -43,8 +53,8 @@
 	{"resident_mb_5_reloads", boundPeakMB, true, func(r *row) float64 { return r.resident5 }},
 	{"resident_mb_20_reloads", boundPeakMB, true, func(r *row) float64 { return r.resident20 }},
 	{"resident_mb_peak", boundPeakMB, false, func(r *row) float64 { return r.peak }},
-	{"reload_logged_ms_worst", boundReloadMillis, true, func(r *row) float64 { return slices.Max(r.logged) }},
-	{"reload_in_force_ms_worst", boundReloadMillis, true, func(r *row) float64 { return slices.Max(r.inForce) }},
+	{"reload_logged_ms_worst", boundReloadMillis, true, func(r *row) float64 { return worst(r.logged) }},
+	{"reload_in_force_ms_worst", boundReloadMillis, true, func(r *row) float64 { return worst(r.inForce) }},
 	{"reload_wait_p99_ms", scale.TargetAddedMillis, false, func(r *row) float64 { return milliseconds(r.waits.At(99)) }},
 	{"reload_wait_longest_ms", boundLongestMillis, false, func(r *row) float64 { return milliseconds(r.waits.Longest()) }},
 	{"reload_processor_ms", 0, true, func(r *row) float64 { return r.processor }},
@@ -133,7 +143,7 @@
 				s.Points = append(s.Points, scale.Point{Size: float64(size(r)), Value: value})
 			}
 		}
-		if len(s.Points) < len(rows) {
+		if len(s.Points) < len(rows) && len(ended) > 0 {
 			s.Ran = "not had at " + strings.Join(ended, ", ")
 		}
 		if err := m.add(s); err != nil {
@@ -166,7 +176,7 @@
 					}
 				}
 				if len(s.Points) < len(m.sizes.loaded) {
-					s.Ran = "only where reloads are taken"
+					s.Ran = "had only where reloads are taken"
 				}
 				if err := m.add(s); err != nil {
 					return err
--- a/internal/lab/scale/instance/instance.go
+++ b/internal/lab/scale/instance/instance.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"thymechute/internal/lab/scale"
@@ -98,7 +99,7 @@
 	return startRig(m.ctx, m.options.Program, m.options.Folder, d)
 }
 
-// add puts a series into the result; one of too few sizes goes in by its points.
+// add puts a series into the result; one of too few sizes goes in by its points, and its name to what was not run.
 func (m *measuring) add(s scale.Series) error {
 	s.Role = "service instance"
 	distinct := map[float64]bool{}
@@ -108,9 +109,19 @@
 	if len(distinct) >= 4 {
 		return m.result.Add(s)
 	}
+	if len(distinct) == 0 {
+		return nil
+	}
 	for _, p := range s.Points {
 		m.result.Put(fmt.Sprintf("%s_at_%.0f_%s", s.Name, p.Size, s.Of), p.Value)
 	}
-	m.result.NotRun = append(m.result.NotRun, fmt.Sprintf("%s by %s: %d sizes only, no fit: %s", s.Name, s.Of, len(distinct), s.Ran))
+	why := fmt.Sprintf("fewer than four %s, no fit, %s: ", s.Of, s.Ran)
+	for n, line := range m.result.NotRun {
+		if strings.HasPrefix(line, why) {
+			m.result.NotRun[n] = line + ", " + s.Name
+			return nil
+		}
+	}
+	m.result.NotRun = append(m.result.NotRun, why+s.Name)
 	return nil
 }
--- a/internal/lab/scale/instance/instance_test.go
+++ b/internal/lab/scale/instance/instance_test.go
@@ -41,6 +41,9 @@
 	}
 	for _, f := range rowFigures {
 		for _, of := range []string{"tenants", "routes"} {
+			if f.name == "reload_in_force_ms_worst" && of == "routes" {
+				continue // what changes with a route no probe shows
+			}
 			if s, ok := have[f.name+" by "+of]; !ok || len(s.Points) != 4 || s.Bound != f.bound {
 				t.Errorf("%s by %s: %+v", f.name, of, s)
 			}
@@ -150,6 +153,10 @@
 	if len(m.result.Faults) != 2 || !strings.Contains(m.result.Faults[1], "4000 tenants, 0 routes: no word; the longest wait 4") {
 		t.Errorf("%q", m.result.Faults)
 	}
+	if len(m.result.NotRun) != 1 || !strings.Contains(m.result.NotRun[0], "reload_in_force_ms_worst") ||
+		!strings.Contains(m.result.NotRun[0], "3000 (a reload was refused), 4000 (no word)") {
+		t.Errorf("not run: %q", m.result.NotRun)
+	}
 	for _, s := range m.result.Series {
 		if s.Name == "reload_in_force_ms_worst" || s.Name == "reload_wait_longest_ms" && len(s.Points) != 4 {
 			t.Errorf("%+v", s)
--- a/internal/lab/scale/instance/load.go
+++ b/internal/lab/scale/instance/load.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -12,8 +13,8 @@
 )
 
 const (
-	answersLimit    = reloadLimit + 2*time.Second // waited for answers after a load
-	longestStall    = 12 * time.Second            // for which a load has connections enough
+	answersLimit    = 3 * time.Second  // waited for answers after a load
+	longestStall    = 12 * time.Second // for which a load has connections enough
 	openAConnection = 32
 	mostConnections = 400
 	overlap         = 50 * time.Millisecond // after a reload's end, in which requests still count as beside it
@@ -27,11 +28,12 @@
 }
 
 // load sends requests of all classes and of all tenants but the last, whose limit is the probe's, drawn by the seed.
-func (r *rig) load(ctx context.Context, rate float64, span time.Duration, seed uint64) (added, error) {
+// It ends early once stop is closed.
+func (r *rig) load(ctx context.Context, rate float64, span time.Duration, seed uint64, stop <-chan struct{}) (added, error) {
 	r.forget()
 	chance := rand.New(rand.NewPCG(seed, 2))
 	body := func(n int) string { return fmt.Sprintf("%c %d %d", workLoad, seed, n) }
-	samples, err := stub.Load{Address: r.deployment.listen, Rate: rate, Span: span, Wait: answersLimit, Seed: seed,
+	samples, err := stub.Load{Address: r.deployment.listen, Rate: rate, Span: span, Wait: answersLimit, Stop: stop, Seed: seed,
 		Connections: min(max(int(rate*longestStall.Seconds())/openAConnection, 8), mostConnections),
 		Request: func(n int) stub.Request {
 			return stub.Request{Class: className(chance.IntN(r.classes)), Tenant: tenantName(chance.IntN(r.tenants - 1)),
@@ -47,6 +49,22 @@
 	return a, nil
 }
 
+// whileLoaded runs a load, and what is done beside it once a fifth of its span is over; the load goes on as long again after that.
+func (r *rig) whileLoaded(ctx context.Context, rate float64, span time.Duration, seed uint64, do func() error) (a added, err error) {
+	stop, done := make(chan struct{}), make(chan error, 1)
+	go func() {
+		var err error
+		a, err = r.load(ctx, rate, longestStall, seed, stop)
+		done <- err
+	}()
+	time.Sleep(span / beforePart)
+	begin := time.Now()
+	err = do()
+	time.Sleep(max(span-span/beforePart-time.Since(begin), span/beforePart))
+	close(stop)
+	return a, errors.Join(err, <-done)
+}
+
 // all is the distribution over the whole load.
 func (a added) all() *stub.Distribution {
 	return a.between(time.Time{}, time.Now())
--- a/internal/lab/scale/instance/reports.go
+++ b/internal/lab/scale/instance/reports.go
@@ -16,6 +16,7 @@
 
 const (
 	sweepGap     = 5 * time.Millisecond // between two looks at which reports are due
+	idleFactor   = 3                    // times as long for the program's own: its processor time counts in steps of 10 ms
 	headerBytes  = 28                   // of UDP and IP version 4, a datagram
 	subsetListed = likelySubset
 	reportGap    = 300 * time.Millisecond // between two reports of one instance, by internal/catalog
@@ -66,7 +67,7 @@
 	}
 	defer r.end()
 	before, used, begin := r.catalog.Counts(), r.processor(), time.Now()
-	time.Sleep(m.sizes.reporting)
+	time.Sleep(idleFactor * m.sizes.reporting)
 	after, span := r.catalog.Counts(), time.Since(begin).Seconds()
 	reports := float64(after.Reports - before.Reports)
 	if reports == 0 {
--- a/internal/lab/scale/instance/rig.go
+++ b/internal/lab/scale/instance/rig.go
@@ -6,13 +6,13 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	processes "thymechute/internal/lab/rig"
 	"thymechute/internal/stand/catalog"
 	"thymechute/internal/stand/runtime"
 )
@@ -75,12 +75,7 @@
 
 // freeAddress lies apart from 127.0.0.1, from which all dial: the port of a connection on its way would else take it.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", fmt.Sprintf("127.2.%d.%d:0", os.Getpid()>>8&255, os.Getpid()&255))
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return processes.FreeOn(fmt.Sprintf("127.2.%d.%d", os.Getpid()>>8&255, os.Getpid()&255))
 }
 
 func (r *rig) end() {
--- a/internal/lab/scale/instance/script.go
+++ b/internal/lab/scale/instance/script.go
@@ -57,7 +57,7 @@
 
 func (s *script) quietLoads() error {
 	for _, rate := range s.m.sizes.rates {
-		a, err := s.rig.load(s.m.ctx, rate, s.m.sizes.quiet, s.m.seed())
+		a, err := s.rig.load(s.m.ctx, rate, s.m.sizes.quiet, s.m.seed(), nil)
 		if err != nil {
 			return err
 		}
@@ -89,19 +89,11 @@
 }
 
 // firstReload is made beside a load, so that what waits for it is seen also where it is never taken.
-func (s *script) firstReload() (err error) {
-	var a added
-	done := make(chan error, 1)
-	go func() {
-		var err error
-		a, err = s.rig.load(s.m.ctx, reloadRate, s.m.sizes.single, s.m.seed())
-		done <- err
-	}()
-	time.Sleep(s.m.sizes.single / beforePart)
-	s.row.first, err = s.rig.put(s.m.ctx, s.other())
-	if loadErr := <-done; err == nil {
-		err = loadErr
-	}
+func (s *script) firstReload() error {
+	a, err := s.rig.whileLoaded(s.m.ctx, reloadRate, s.m.sizes.single, s.m.seed(), func() (err error) {
+		s.row.first, err = s.rig.put(s.m.ctx, s.other())
+		return err
+	})
 	if err != nil {
 		return err
 	}
@@ -111,27 +103,10 @@
 	return err
 }
 
-// probedReloads goes back and forth with a probe that shows each change acting.
-func (s *script) probedReloads() error {
+// probedReloads goes back and forth; where it is a limit that changes, a probe shows each change acting.
+func (s *script) probedReloads() (err error) {
 	for s.reloads < probed {
-		acting := make(chan error, 1)
-		var at time.Time
-		begin := time.Now()
-		if s.limited[0] != s.limited[1] {
-			wanted := s.limited[1-s.now]
-			go func() {
-				var err error
-				at, err = s.probe.until(s.m.ctx, wanted, reloadLimit)
-				acting <- err
-			}()
-		} else {
-			at = begin
-			acting <- nil
-		}
-		one, err := s.rig.put(s.m.ctx, s.other())
-		if probeErr := <-acting; err == nil && one.outcome == taken {
-			err = probeErr
-		}
+		one, acting, err := s.probedReload()
 		if err != nil {
 			return err
 		}
@@ -139,27 +114,41 @@
 			return nil
 		}
 		s.row.logged = append(s.row.logged, one.took())
-		s.row.inForce = append(s.row.inForce, max(one.took(), milliseconds(at.Sub(one.sent))))
+		if !acting.IsZero() {
+			s.row.inForce = append(s.row.inForce, max(one.took(), milliseconds(acting.Sub(one.sent))))
+		}
 	}
-	var err error
 	s.row.resident5, err = s.rig.resident()
 	return err
 }
 
+// probedReload is one; acting is when the probe saw it, zero without one.
+func (s *script) probedReload() (one reload, acting time.Time, err error) {
+	if s.limited[0] == s.limited[1] {
+		one, err = s.rig.put(s.m.ctx, s.other())
+		return one, acting, err
+	}
+	wanted, probed := s.limited[1-s.now], make(chan error, 1)
+	go func() {
+		var err error
+		acting, err = s.probe.until(s.m.ctx, wanted, reloadLimit)
+		probed <- err
+	}()
+	one, err = s.rig.put(s.m.ctx, s.other())
+	if probeErr := <-probed; err == nil && one.outcome == taken {
+		err = probeErr
+	}
+	return one, acting, err
+}
+
 // reloadingLoads has a reload each second beside each load.
 func (s *script) reloadingLoads() error {
 	for _, rate := range s.m.sizes.rates {
-		var a added
-		done := make(chan error, 1)
-		go func() {
-			var err error
-			a, err = s.rig.load(s.m.ctx, rate, s.m.sizes.reloading, s.m.seed())
-			done <- err
-		}()
-		reloads, err := s.rig.every(s.m.ctx, reloadsEach, s.m.sizes.reloading-reloadsEach/2, [2][]byte{s.other(), s.texts[s.now]})
-		if loadErr := <-done; err == nil {
-			err = loadErr
-		}
+		var reloads []reload
+		a, err := s.rig.whileLoaded(s.m.ctx, rate, s.m.sizes.reloading, s.m.seed(), func() (err error) {
+			reloads, err = s.rig.every(s.m.ctx, reloadsEach, s.m.sizes.reloading, [2][]byte{s.other(), s.texts[s.now]})
+			return err
+		})
 		if err != nil {
 			return err
 		}
@@ -192,21 +181,14 @@
 }
 
 // oddFiles puts a file that is the same, and one that is cut off, beside a load.
-func (s *script) oddFiles() (err error) {
-	var a added
-	done := make(chan error, 1)
-	go func() {
-		var err error
-		a, err = s.rig.load(s.m.ctx, reloadRate, s.m.sizes.single, s.m.seed())
-		done <- err
-	}()
-	time.Sleep(s.m.sizes.single / beforePart)
-	if s.row.same, err = s.rig.put(s.m.ctx, s.texts[s.now]); err == nil {
+func (s *script) oddFiles() error {
+	a, err := s.rig.whileLoaded(s.m.ctx, reloadRate, s.m.sizes.single, s.m.seed(), func() (err error) {
+		if s.row.same, err = s.rig.put(s.m.ctx, s.texts[s.now]); err != nil {
+			return err
+		}
 		s.row.faulty, err = s.rig.put(s.m.ctx, bytes.TrimSuffix(s.texts[1-s.now], []byte("}")))
-	}
-	if loadErr := <-done; err == nil {
-		err = loadErr
-	}
+		return err
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/stand/stub/load.go
+++ b/internal/stand/stub/load.go
@@ -14,17 +14,22 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
-// mostSamples bounds one load.
-const mostSamples = 1 << 20
+const (
+	mostSamples  = 1 << 20               // of one load
+	longestSleep = 20 * time.Millisecond // at a stretch: a load that is stopped ends so soon
+)
 
 // Load is requests at a mean rate, with exponential times between them.
 type Load struct {
 	Address     string
-	Rate        float64       // requests a second
-	Span        time.Duration // in which requests are due
-	Wait        time.Duration // for answers after it
+	Rate        float64         // requests a second
+	Span        time.Duration   // in which requests are due
+	Wait        time.Duration   // for answers after it
+	Stop        <-chan struct{} // closed: nothing more is due; nil: never
 	Connections int
 	Seed        uint64                    // of the times between requests and of their ids
 	Request     func(n int) Request       // the n-th, from 0
@@ -102,7 +107,7 @@
 func (r *running) sendAll(ctx context.Context) {
 	begin := time.Now()
 	for due := r.gap(); due < r.load.Span; due += r.gap() {
-		if !sleepUntil(ctx, begin.Add(due)) {
+		if !r.sleepUntil(ctx, begin.Add(due)) {
 			break
 		}
 		r.send(begin.Add(due))
@@ -116,16 +121,22 @@
 	return time.Duration(r.chance.ExpFloat64() / r.load.Rate * float64(time.Second))
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	wait := time.Until(at)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	select {
-	case <-time.After(wait):
-		return true
-	case <-ctx.Done():
-		return false
+// sleepUntil sleeps by the kernel's timers: Go's come up to a millisecond late. False: nothing more is due.
+func (r *running) sleepUntil(ctx context.Context, at time.Time) bool {
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-r.load.Stop:
+			return false
+		default:
+		}
+		wait := min(time.Until(at), longestSleep)
+		if wait <= 0 {
+			return true
+		}
+		span := unix.NsecToTimespec(int64(wait))
+		_ = unix.Nanosleep(&span, nil) // interrupted: the loop sleeps on
 	}
 }
 
--- a/internal/stand/stub/load_test.go
+++ b/internal/stand/stub/load_test.go
@@ -209,3 +209,23 @@
 		t.Errorf("%d and %d requests", a, b)
 	}
 }
+
+// A load that is stopped sends nothing more, and ends with its answers.
+func TestStoppedLoadEnds(t *testing.T) {
+	stop := make(chan struct{})
+	l := load(server(t, func(n int, c net.Conn, id int) {
+		if n == 20 {
+			close(stop)
+		}
+		serve(c, id)
+	}))
+	l.Span, l.Stop = time.Hour/4, stop
+	begin := time.Now()
+	samples, err := l.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(samples) < 20 || samples.Count(Served) != len(samples) || time.Since(begin) > time.Minute {
+		t.Errorf("%d requests, %d served, %v", len(samples), samples.Count(Served), time.Since(begin))
+	}
+}
