--- a/cmd/thymelab/scale.go
+++ b/cmd/thymelab/scale.go
@@ -14,10 +14,11 @@
 
 	"thymechute/internal/lab/scale"
 	"thymechute/internal/lab/scale/decisions"
+	"thymechute/internal/lab/scale/instance"
 )
 
 // scaleParts are the measurements, in the order in which they run.
-var scaleParts = []scale.Part{decisions.Part{}}
+var scaleParts = []scale.Part{instance.New(), decisions.Part{}}
 
 const scaleTime = 15 * time.Minute // of one part, at the most
 
@@ -45,6 +46,10 @@
 }
 
 func runPart(c *cobra.Command, part scale.Part, seed uint64, asJSON bool) error {
+	program, err := programBeside()
+	if err != nil {
+		return err
+	}
 	folder, err := os.MkdirTemp("", "thymelab")
 	if err != nil {
 		return err
@@ -53,7 +58,7 @@
 	ctx, cancel := context.WithTimeout(c.Context(), scaleTime)
 	defer cancel()
 	progress := func(line string) { fmt.Fprintln(c.ErrOrStderr(), line) }
-	result, err := part.Run(ctx, scale.Options{Seed: seed, Folder: folder, Progress: progress})
+	result, err := part.Run(ctx, scale.Options{Seed: seed, Folder: folder, Program: program, Progress: progress})
 	if err != nil {
 		return fmt.Errorf("scale, part %s: %w", part.Name(), err)
 	}
