--- /dev/null
+++ b/internal/stand/broker/signatures.go
@@ -0,0 +1,74 @@
+// This file owns the methods and their signatures.
+
+package broker
+
+import (
+	"encoding/binary"
+	"fmt"
+)
+
+// Method is one with its arguments in the order of the specification.
+type Method struct {
+	Name string
+	Args []any
+}
+
+// The signatures: o octet, h short, l long, q longlong, S shortstr, L longstr, T table, b bit.
+var methods = map[uint32]struct{ name, args string }{
+	10<<16 | 10: {"connection.start", "ooTLL"}, 10<<16 | 11: {"connection.start-ok", "TSLS"},
+	10<<16 | 30: {"connection.tune", "hlh"}, 10<<16 | 31: {"connection.tune-ok", "hlh"},
+	10<<16 | 40: {"connection.open", "SSb"}, 10<<16 | 41: {"connection.open-ok", "S"},
+	10<<16 | 50: {"connection.close", "hShh"}, 10<<16 | 51: {"connection.close-ok", ""},
+	10<<16 | 60: {"connection.blocked", "S"}, 10<<16 | 61: {"connection.unblocked", ""},
+	20<<16 | 10: {"channel.open", "S"}, 20<<16 | 11: {"channel.open-ok", "L"},
+	20<<16 | 20: {"channel.flow", "b"}, 20<<16 | 21: {"channel.flow-ok", "b"},
+	20<<16 | 40: {"channel.close", "hShh"}, 20<<16 | 41: {"channel.close-ok", ""},
+	40<<16 | 10: {"exchange.declare", "hSSbbbbbT"}, 40<<16 | 11: {"exchange.declare-ok", ""},
+	40<<16 | 20: {"exchange.delete", "hSbb"}, 40<<16 | 21: {"exchange.delete-ok", ""},
+	50<<16 | 10: {"queue.declare", "hSbbbbbT"}, 50<<16 | 11: {"queue.declare-ok", "Sll"},
+	50<<16 | 20: {"queue.bind", "hSSSbT"}, 50<<16 | 21: {"queue.bind-ok", ""},
+	50<<16 | 30: {"queue.purge", "hSb"}, 50<<16 | 31: {"queue.purge-ok", "l"},
+	50<<16 | 40: {"queue.delete", "hSbbb"}, 50<<16 | 41: {"queue.delete-ok", "l"},
+	50<<16 | 50: {"queue.unbind", "hSSST"}, 50<<16 | 51: {"queue.unbind-ok", ""},
+	60<<16 | 10: {"basic.qos", "lhb"}, 60<<16 | 11: {"basic.qos-ok", ""},
+	60<<16 | 20: {"basic.consume", "hSSbbbbT"}, 60<<16 | 21: {"basic.consume-ok", "S"},
+	60<<16 | 30: {"basic.cancel", "Sb"}, 60<<16 | 31: {"basic.cancel-ok", "S"},
+	60<<16 | 40: {"basic.publish", "hSSbb"}, 60<<16 | 50: {"basic.return", "hSSS"},
+	60<<16 | 60: {"basic.deliver", "SqbSS"}, 60<<16 | 70: {"basic.get", "hSb"},
+	60<<16 | 71: {"basic.get-ok", "qbSSl"}, 60<<16 | 72: {"basic.get-empty", "S"},
+	60<<16 | 80: {"basic.ack", "qb"}, 60<<16 | 90: {"basic.reject", "qb"},
+	60<<16 | 100: {"basic.recover-async", "b"}, 60<<16 | 110: {"basic.recover", "b"},
+	60<<16 | 111: {"basic.recover-ok", ""}, 60<<16 | 120: {"basic.nack", "qbb"},
+	85<<16 | 10: {"confirm.select", "b"}, 85<<16 | 11: {"confirm.select-ok", ""},
+}
+
+var byName = func() map[string]uint32 {
+	m := map[string]uint32{}
+	for id, s := range methods {
+		m[s.name] = id
+	}
+	return m
+}()
+
+// DecodeMethod reads the payload of a method's frame; all of it must be used.
+func DecodeMethod(payload []byte) (m Method, err error) {
+	r := &reader{left: payload}
+	id := uint32(r.number(4))
+	s, ok := methods[id]
+	if !ok || r.err != nil {
+		return m, fmt.Errorf("%w: %d.%d", ErrMethod, id>>16, id&0xffff)
+	}
+	m.Name = s.name
+	m.Args = r.values(s.args)
+	return m, r.end()
+}
+
+// AppendMethod writes a method's payload. Arguments of a kind that the method does not take are a defect of the
+// caller, and panic.
+func AppendMethod(out []byte, name string, args ...any) []byte {
+	id, ok := byName[name]
+	if !ok || len(args) != len(methods[id].args) {
+		panic("no such method: " + name)
+	}
+	return appendValues(binary.BigEndian.AppendUint32(out, id), methods[id].args, args)
+}
