Membership: the full exchange and the tries of the dead paced by the size

Suspicions played no part (none traced); a join took the whole view from every seed, and each member tried a dead one every second.

Change: memberlist's own exchange is off; the member begins each by a wait of its own, drawn anew: the set interval up to 32 members, 0.6 s more for each member past that, so that the bytes tend to a constant. New members exchange soon and then ever more slowly, every other time with a seed that they don't know. A join stops at the first seed that answers. The whole fleet tries the dead as often as 32 members do. A record that only tells load is told once in 250 ms times the members (1 s at the least), the last of those in between; ranks and flags at once. Zeros are left out of the record.

NotifyMerge is gone: by Join it would refuse a whole exchange for one record that does not read; NotifyAlive refuses just that record, on every way in (the liar of the test still gets nowhere).

--- a/cmd/thymelab/scale.go
+++ b/cmd/thymelab/scale.go
@@ -13,10 +13,11 @@
 	"github.com/spf13/cobra"
 
 	"thymechute/internal/lab/scale"
+	"thymechute/internal/lab/scale/members"
 )
 
 // scaleParts are the measurements, in the order in which they run.
-var scaleParts = []scale.Part{}
+var scaleParts = []scale.Part{members.Part{}}
 
 const scaleTime = 15 * time.Minute // of one part, at the most
 
--- /dev/null
+++ b/cmd/thymelab/scalechild.go
@@ -0,0 +1,16 @@
+// This file owns the hidden command that the scale measurements start: one trial a process, so that its memory and its
+// processor time are its own.
+
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"thymechute/internal/lab/scale/members"
+)
+
+func scaleMembers() *cobra.Command {
+	return &cobra.Command{Use: members.ChildCommand, Hidden: true, Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+		return members.Child(c.Context(), c.InOrStdin(), c.OutOrStdout(), c.ErrOrStderr())
+	}}
+}
--- a/internal/fleet/member/delegates.go
+++ b/internal/fleet/member/delegates.go
@@ -73,17 +73,6 @@
 
 func (a alive) NotifyAlive(n *memberlist.Node) error { return a.m.admit(n) }
 
-type merge struct{ m *Member }
-
-func (g merge) NotifyMerge(peers []*memberlist.Node) error {
-	for _, n := range peers {
-		if err := g.m.admit(n); err != nil {
-			return err // memberlist then takes none of this push and pull, and asks again later
-		}
-	}
-	return nil
-}
-
 type events struct{ m *Member }
 
 func (e events) NotifyJoin(n *memberlist.Node) { e.put(n, true) }
--- /dev/null
+++ b/internal/fleet/member/exchange.go
@@ -0,0 +1,106 @@
+// This file owns finding the others: the seeds, the members declared dead, and the full exchange of state with one member
+// (push and pull) that repairs what gossip missed. It must never run two exchanges of one kind at once.
+
+package member
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// rejoin runs until the end. While this member knows no other it tries the seeds every second: they may come up later than
+// it, or all be gone for a while. Otherwise it tries one member declared dead, in turn, so that the sides of a partition find
+// each other again. One dial at a time.
+func (m *Member) rejoin(seeds []string) {
+	tick := time.NewTicker(retryEvery)
+	defer tick.Stop()
+	for {
+		switch members := m.list.NumMembers(); {
+		case len(seeds) > 0 && members <= 1:
+			m.joinOne(seeds)
+		case rand.Float64() < retryChance(members):
+			if address := m.nextGone(); address != "" {
+				_, _ = m.list.Join([]string{address})
+			}
+		}
+		select {
+		case <-m.stop:
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// joinOne joins by the first seed that answers, from a place in the list by chance: each join costs its seed the whole view.
+// None answering is no error: the member stands alone until one joins it.
+func (m *Member) joinOne(seeds []string) {
+	first := rand.IntN(len(seeds))
+	for n := range seeds {
+		if joined, _ := m.list.Join(seeds[(first+n)%len(seeds) : (first+n)%len(seeds)+1]); joined > 0 {
+			return
+		}
+	}
+}
+
+// exchange runs until the end: a full exchange with one member at a time, soon after the start and then at the pace of the
+// size.
+func (m *Member) exchange(sync time.Duration, seeds []string) {
+	step := sync
+	for turn := 0; ; turn++ {
+		regular := exchangeEvery(sync, m.list.NumMembers())
+		select {
+		case <-m.stop:
+			return
+		case <-time.After(jitter(min(step, regular))):
+		}
+		if address := m.peer(seeds, turn); address != "" {
+			_, _ = m.list.Join([]string{address}) // not reached: the next exchange is with another
+		}
+		if step < regular {
+			step *= exchangeGrowth
+		}
+	}
+}
+
+// peer chooses whom to exchange with, "" for nobody: a member by chance, and every other time a seed that is not in the view
+// if there is one, so that two groups that grew from different seeds become one.
+func (m *Member) peer(seeds []string, turn int) string {
+	self := m.list.LocalNode().Name
+	var addresses []string
+	for _, node := range m.list.Members() {
+		if node.Name != self {
+			addresses = append(addresses, node.Address())
+		}
+	}
+	if turn%2 == 0 {
+		strangers := slices.DeleteFunc(slices.Clone(seeds), func(seed string) bool { return slices.Contains(addresses, seed) })
+		if len(strangers) > 0 {
+			return strangers[rand.IntN(len(strangers))]
+		}
+	}
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[rand.IntN(len(addresses))]
+}
+
+// nextGone is the address of the next dead member to try, "" for none; those past reconnectFor are dropped.
+func (m *Member) nextGone() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	names := make([]string, 0, len(m.gone))
+	for name, g := range m.gone {
+		if time.Since(g.since) > reconnectFor {
+			delete(m.gone, name)
+			continue
+		}
+		names = append(names, name)
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	slices.Sort(names)
+	m.turn++
+	return m.gone[names[m.turn%len(names)]].address
+}
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -20,7 +20,6 @@
 	"io"
 	"log"
 	"net"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -48,12 +47,18 @@
 	Probe     time.Duration // between probes; 0 for memberlist's local default (1 s)
 	Sync      time.Duration // between full exchanges of state with one member (push and pull); 0 for 15 s.
 	// Gossip alone can miss a member that joined at the same moment as another; the exchange repairs that, so it
-	// bounds how long views may disagree, at the cost of one TCP exchange of the whole view per member and period.
+	// bounds how long views may disagree, at the cost of one TCP exchange of the whole view per member and period. Past
+	// paceFrom members the period grows with them (pace.go).
 	Log io.Writer // memberlist's own lines; nil for none
 	// Message hears what another member sent by Send, on memberlist's goroutine: it must hand it on and return. nil: none.
 	Message func(b []byte)
+	// Wrap takes the place of the transport with one that counts or holds what passes; nil: none.
+	Wrap func(Transport) Transport
 }
 
+// Transport is what carries a member's datagrams and streams.
+type Transport = memberlist.NodeAwareTransport
+
 // Member is one running member.
 type Member struct {
 	list  *memberlist.Memberlist
@@ -66,6 +71,11 @@
 	stop  chan struct{}   // closed by Leave; ends the rejoining
 	gone  map[string]lost // members declared dead, not left: tried again in turn; at most most, each for reconnectFor
 	turn  int
+
+	telling  sync.Mutex  // held while a change of the record is handed to memberlist
+	lastTold time.Time   // of the record's last change; guarded by mu
+	waiting  *time.Timer // tells the change that waits, nil for none; guarded by mu
+	ended    bool        // guarded by mu
 }
 
 // lost is a member declared dead, and where it was.
@@ -78,6 +88,8 @@
 // (15 s locally) is healed only by this: each side has declared the other dead and would never speak to it again.
 const reconnectFor = 10 * time.Minute
 
+const defaultSync = 15 * time.Second
+
 // Start joins the fleet by the seeds (where none answers, it stands alone and others may join it). Errors: a
 // faulty config, an address that can't be bound, a record too long.
 func Start(c Config, w Watcher) (*Member, error) {
@@ -101,11 +113,14 @@
 	if _, err := m.meta(); err != nil {
 		return nil, err
 	}
+	if c.Sync == 0 {
+		c.Sync = defaultSync
+	}
 	lc, err := settings(c, host, p)
 	if err != nil {
 		return nil, err
 	}
-	lc.Delegate, lc.Events, lc.Alive, lc.Merge = delegate{m}, events{m}, alive{m}, merge{m}
+	lc.Delegate, lc.Events, lc.Alive = delegate{m}, events{m}, alive{m}
 	lc.LogOutput = c.Log
 	if c.Log == nil {
 		lc.LogOutput = io.Discard
@@ -116,6 +131,9 @@
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
 	lc.Transport = bound{nt, net.ParseIP(host)}
+	if c.Wrap != nil {
+		lc.Transport = c.Wrap(bound{nt, net.ParseIP(host)})
+	}
 	list, err := memberlist.Create(lc)
 	if err != nil {
 		_ = nt.Shutdown()
@@ -123,29 +141,10 @@
 	}
 	m.list = list
 	go m.rejoin(c.Seeds)
+	go m.exchange(c.Sync, c.Seeds)
 	return m, nil
 }
 
-// rejoin runs every second until Leave. While this member knows no other it tries the seeds: they may come up later
-// than it, or all be gone for a while. Otherwise it tries one member declared dead, in turn, so that the sides of a
-// partition find each other again. One Join at a time, so it costs one goroutine and one dial a second.
-func (m *Member) rejoin(seeds []string) {
-	tick := time.NewTicker(time.Second)
-	defer tick.Stop()
-	for {
-		if len(seeds) > 0 && m.list.NumMembers() <= 1 {
-			_, _ = m.list.Join(seeds) // none answering is no error: it stands alone until one joins it
-		} else if address := m.nextGone(); address != "" {
-			_, _ = m.list.Join([]string{address})
-		}
-		select {
-		case <-m.stop:
-			return
-		case <-tick.C:
-		}
-	}
-}
-
 func (m *Member) meta() ([]byte, error) {
 	b, err := json.Marshal(m.self)
 	if err == nil && len(b) > memberlist.MetaMaxSize {
@@ -154,46 +153,6 @@
 	return b, err
 }
 
-// Set changes its own record and gossips it; errors as for a record too long, and then nothing changed.
-func (m *Member) Set(r Record) error {
-	m.mu.Lock()
-	before := m.self
-	r.V, r.Name = Version, before.Name
-	m.self = r
-	_, err := m.meta()
-	if err == nil {
-		err = r.check(r.Name)
-	}
-	if err != nil {
-		m.self = before
-	}
-	m.mu.Unlock()
-	if err != nil {
-		return err
-	}
-	return m.list.UpdateNode(time.Second)
-}
-
-// nextGone is the address of the next dead member to try, "" for none; those past reconnectFor are dropped.
-func (m *Member) nextGone() string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	names := make([]string, 0, len(m.gone))
-	for name, g := range m.gone {
-		if time.Since(g.since) > reconnectFor {
-			delete(m.gone, name)
-			continue
-		}
-		names = append(names, name)
-	}
-	if len(names) == 0 {
-		return ""
-	}
-	slices.Sort(names)
-	m.turn++
-	return m.gone[names[m.turn%len(names)]].address
-}
-
 // View is a copy of the members it knows alive now, itself included, by name.
 func (m *Member) View() map[string]Record {
 	m.mu.Lock()
@@ -207,15 +166,23 @@
 
 // Leave flags its record "leaving", tells the others that it goes (within timeout) and stops; the member can't be used after.
 func (m *Member) Leave(timeout time.Duration) error {
-	close(m.stop)
+	m.end()
 	m.mu.Lock()
 	m.self.Flag = "leaving"
 	m.mu.Unlock()
+	m.telling.Lock()
+	defer m.telling.Unlock()
 	_ = m.list.UpdateNode(timeout / 2) // so that the others don't try it again as if it had died
 	err := m.list.Leave(timeout)
 	return errors.Join(err, m.list.Shutdown())
 }
 
+// Stop ends it at once with no word to the others, who find it dead. It can't be used after.
+func (m *Member) Stop() error {
+	m.end()
+	return m.list.Shutdown()
+}
+
 // admit is the one check of a peer before memberlist takes it: a record that reads, room in the view.
 func (m *Member) admit(n *memberlist.Node) error {
 	_, err := Read(n.Name, n.Meta)
--- a/internal/fleet/member/record.go
+++ b/internal/fleet/member/record.go
@@ -15,18 +15,18 @@
 // Record is what a member says of itself; at most memberlist.MetaMaxSize (512) bytes as JSON.
 type Record struct {
 	V        int     `json:"v"`
-	Name     string  `json:"name"`              // its member name again, so that a record can't be worn by another
-	Zone     string  `json:"zone"`              // up to 64 bytes
-	Epoch    uint64  `json:"epoch"`             // when it joined, in the fleet's epochs; ties go by name
-	Rank     int     `json:"rank"`              // the rank it holds, -1 for none (internal/decide/subset)
-	Capacity float64 `json:"capacity"`          // work items a second it can take, 0 and more
-	LagMS    int     `json:"lag_ms"`            // its lag, 0 and more
-	Flag     string  `json:"flag"`              // "", "leaving", "overloaded"
-	Share    float64 `json:"share"`             // of what the fleet sheds, that it holds, 0 to 1
-	Process  string  `json:"process,omitempty"` // its identity in the agreed log, of this life alone; up to 96 bytes
-	Log      string  `json:"log,omitempty"`     // host:port at which the log reaches it
-	Applied  uint64  `json:"applied,omitempty"` // the log's last entry that it has applied, lately
-	Release  string  `json:"release,omitempty"` // that it runs; up to 64 bytes
+	Name     string  `json:"name"`               // its member name again, so that a record can't be worn by another
+	Zone     string  `json:"zone"`               // up to 64 bytes
+	Epoch    uint64  `json:"epoch"`              // when it joined, in the fleet's epochs; ties go by name
+	Rank     int     `json:"rank"`               // the rank it holds, -1 for none (internal/decide/subset)
+	Capacity float64 `json:"capacity,omitempty"` // work items a second it can take, 0 and more
+	LagMS    int     `json:"lag_ms,omitempty"`   // its lag, 0 and more
+	Flag     string  `json:"flag,omitempty"`     // "", "leaving", "overloaded"
+	Share    float64 `json:"share,omitempty"`    // of what the fleet sheds, that it holds, 0 to 1
+	Process  string  `json:"process,omitempty"`  // its identity in the agreed log, of this life alone; up to 96 bytes
+	Log      string  `json:"log,omitempty"`      // host:port at which the log reaches it
+	Applied  uint64  `json:"applied,omitempty"`  // the log's last entry that it has applied, lately
+	Release  string  `json:"release,omitempty"`  // that it runs; up to 64 bytes
 }
 
 // check says what is wrong with a record heard from name, in one line.
--- a/internal/fleet/member/settings.go
+++ b/internal/fleet/member/settings.go
@@ -45,8 +45,6 @@
 	lc.IndirectChecks = indirect
 	lc.RetransmitMult = retransmit // twice the local default: a member missed by gossip waits for a full exchange
 	lc.GossipInterval = min(max(lc.ProbeInterval/4, leastGossip), mostGossip)
-	if c.Sync > 0 {
-		lc.PushPullInterval = c.Sync
-	}
+	lc.PushPullInterval = 0 // exchange.go begins the full exchanges, at the pace of the size
 	return lc, nil
 }
--- a/internal/fleet/member/settings_test.go
+++ b/internal/fleet/member/settings_test.go
@@ -16,6 +16,9 @@
 		if left := lc.ProbeInterval - lc.ProbeTimeout; left < lc.ProbeInterval/2 {
 			t.Errorf("probe every %v: %v left after the direct try, want at least half", lc.ProbeInterval, left)
 		}
+		if lc.PushPullInterval != 0 {
+			t.Errorf("memberlist's own full exchange every %v, want none beside ours (pace.go)", lc.PushPullInterval)
+		}
 		if lc.IndirectChecks < 2 {
 			t.Errorf("%d members asked, want 2 or more: one may stand behind the same cut", lc.IndirectChecks)
 		}
--- /dev/null
+++ b/internal/lab/scale/members/members_test.go
@@ -0,0 +1,83 @@
+package members
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"thymechute/internal/lab/scale"
+)
+
+// smallPlan is the measurements' script in some seconds.
+func smallPlan(size int) Plan {
+	return Plan{Size: size, Seed: 1, Probe: 200 * time.Millisecond, Sync: time.Second, Settle: 8 * time.Second, Quiet: 2 * time.Second,
+		Trace: time.Second, Changes: 2, Kills: 1, Restarts: 1, RestartEach: time.Second, Cut: 4 * time.Second,
+		AfterHeal: 2 * time.Second, Wait: 30 * time.Second}
+}
+
+func TestSmallTrialEndsInAgreement(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs members for some seconds")
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+	defer cancel()
+	out, err := Try(ctx, smallPlan(12), func(line string) { t.Log(line) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, fault := range out.Faults {
+		t.Error(fault)
+	}
+	if out.Quiet.Datagrams < 4*out.Quiet.Seconds { // five probes a second, each a ping and an acknowledgement
+		t.Errorf("%.1f datagrams a member in %.1f s, want those of the probes", out.Quiet.Datagrams, out.Quiet.Seconds)
+	}
+	if out.Quiet.StreamBytes == 0 || out.Trace.Kinds["full_exchange"] == 0 {
+		t.Errorf("no bytes of a full exchange: quiet %+v, trace %+v", out.Quiet, out.Trace)
+	}
+	if out.ChangeBytes <= 0 || out.DetectAllMillis <= 0 || out.Heal.Bytes <= 0 || out.ResidentBytes <= 0 {
+		t.Errorf("figures missing: %+v", out)
+	}
+}
+
+func TestACutHoldsBackOnlyWhatCrossesIt(t *testing.T) {
+	n := newNetwork()
+	n.place("a", 0)
+	n.place("b", 1)
+	n.place("c", 2)
+	n.cutOff(1)
+	for _, c := range []struct {
+		from int
+		to   string
+		want bool
+	}{{0, "b", true}, {1, "a", true}, {1, "b", false}, {0, "c", false}, {2, "a", false}} {
+		if got := n.cuts(c.from, c.to); got != c.want {
+			t.Errorf("from region %d to %s: held back %v, want %v", c.from, c.to, got, c.want)
+		}
+	}
+	n.heal()
+	if n.cuts(0, "b") {
+		t.Error("held back after the heal")
+	}
+}
+
+func TestReportSaysWhatWasNotRunAndWorksOutTheTarget(t *testing.T) {
+	var outcomes []Outcome
+	for _, size := range Sizes {
+		outcomes = append(outcomes, Outcome{Size: size, Quiet: Window{Seconds: 10, Bytes: 4000, Datagrams: 40, ProcessorMillis: 10},
+			RestartBytes: 16_000, ChangeBytes: 1000})
+	}
+	result, err := Report(1, outcomes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := result.Single["bytes_s_member_ordinary_day_at_target"]; got < 1399 || got > 1401 { // 400 + 16,000 each 16 s
+		t.Errorf("an ordinary day: %.1f B/s, want 1,400", got)
+	}
+	if got := result.Single["record_changes_s_fleet_within_share"]; got < 1.59 || got > 1.61 { // (3,000 - 1,400) / 1,000
+		t.Errorf("%.2f changes a second within the share, want 1.6", got)
+	}
+	if result.Series[0].Target != scale.TargetMembers || !strings.Contains(strings.Join(result.NotRun, " "), "400") {
+		t.Errorf("target %v, not run %v", result.Series[0].Target, result.NotRun)
+	}
+}
