--- a/cmd/thymelab/main.go
+++ b/cmd/thymelab/main.go
@@ -40,6 +40,6 @@
 	stand.AddCommand(standBroker(), standRuntime())
 	run := &cobra.Command{Use: "run", Short: "Run an experiment: the real program and stand-ins, or the emulator"}
 	run.AddCommand(runAMQP(), runStorm(), runFleet(), runSubsets(), runOwner(), runRing(), runRoll(), runScale())
-	root.AddCommand(stand, run, scaleMembers())
+	root.AddCommand(stand, run, scaleMembers(), scaleLog())
 	return root
 }
--- a/cmd/thymelab/scale.go
+++ b/cmd/thymelab/scale.go
@@ -14,10 +14,11 @@
 
 	"thymechute/internal/lab/scale"
 	"thymechute/internal/lab/scale/members"
+	"thymechute/internal/lab/scale/raftlog"
 )
 
 // scaleParts are the measurements, in the order in which they run.
-var scaleParts = []scale.Part{members.Part{}}
+var scaleParts = []scale.Part{members.Part{}, raftlog.Part{}}
 
 const scaleTime = 15 * time.Minute // of one part, at the most
 
--- a/internal/fleet/log/layer.go
+++ b/internal/fleet/log/layer.go
@@ -36,6 +36,14 @@
 	process   string
 	advertise net.Addr
 	dialer    net.Dialer
+	stream    func(net.Conn) net.Conn // nil: connections as they are
+}
+
+func (y *layer) wrap(c net.Conn) net.Conn {
+	if y.stream == nil {
+		return c
+	}
+	return y.stream(c)
 }
 
 func listen(bind, advertise, process string) (*layer, error) {
@@ -74,6 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c = y.wrap(c)
 	if _, err := io.WriteString(c, process+"\n"); err != nil {
 		c.Close()
 		return nil, err
@@ -87,6 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c = y.wrap(c)
 	_ = c.SetReadDeadline(time.Now().Add(greetFor))
 	return &greeted{Conn: c, in: bufio.NewReaderSize(c, longestName), process: y.process}, nil
 }
--- a/internal/fleet/log/lead.go
+++ b/internal/fleet/log/lead.go
@@ -23,12 +23,30 @@
 	changeFor = 2 * time.Second
 	lagging   = 64               // entries behind, under which a follower has caught up
 	forgetOld = 30 * time.Second // a follower silent for so long is dropped
+	// caughtFor is how long one that had caught up when it last told how far it is counts so: in a large fleet a member
+	// tells it minutes apart (member.Set), and what is fed by the leader stays caught up.
+	caughtFor = 10 * time.Minute
 )
 
 type seen struct {
 	Peer
 	first, last time.Time
 	ended       bool // a later process stands at its address
+
+	judged uint64    // the last Applied that was held against the leader's log
+	caught time.Time // when it had caught up by it; zero: it had not
+}
+
+// caughtUp says whether it has caught up with what is agreed, or had when it last told how far it is.
+func (s *seen) caughtUp(committed uint64, now time.Time) bool {
+	within := s.Applied+lagging >= committed
+	if s.Applied != s.judged {
+		s.judged, s.caught = s.Applied, time.Time{}
+		if within {
+			s.caught = now
+		}
+	}
+	return within || (!s.caught.IsZero() && now.Sub(s.caught) < caughtFor)
 }
 
 // Care runs at every member, and acts only at the leader, until stop: peers gives the view, say tells each change and each
@@ -113,12 +131,12 @@
 			at++
 		}
 		if at == len(votes) && !follows[id] && silent == 0 && !s.Leaving && !s.ended {
-			if err := l.raft.AddNonvoter(raft.ServerID(id), located(s.Address, id), 0, changeFor).Error(); err != nil {
+			if err := l.Follow(id, s.Address); err != nil {
 				failed = "a follower could not be added: " + err.Error() // not to hold up the rest
 			}
 		}
 		members = append(members, voters.Member{Process: id, Zone: s.Zone, Age: now.Sub(s.first), SilentFor: silent, Leaving: s.Leaving,
-			CaughtUp: s.Applied+lagging >= committed && follows[id], Ended: s.ended})
+			CaughtUp: s.caughtUp(committed, now) && follows[id], Ended: s.ended})
 	}
 	var learners []string
 	if *learner != "" {
@@ -148,7 +166,7 @@
 func (l *Log) change(c voters.Change, address string) voters.Change {
 	var err error
 	if c.Kind == voters.Vote {
-		err = l.vote(c.Process, address)
+		err = l.Vote(c.Process, address)
 	} else {
 		err = l.raft.RemoveServer(raft.ServerID(c.Process), 0, changeFor).Error()
 	}
@@ -157,8 +175,3 @@
 	}
 	return c
 }
-
-// vote makes a process a voter.
-func (l *Log) vote(process, address string) error {
-	return l.raft.AddVoter(raft.ServerID(process), located(address, process), 0, changeFor).Error()
-}
--- a/internal/fleet/log/log.go
+++ b/internal/fleet/log/log.go
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -27,6 +28,9 @@
 	applyFor      = 200 * time.Millisecond // at most, that a proposal holds up the driver
 	dialFor       = time.Second
 	connections   = 2 // kept to each other server
+
+	// mostSnapshot is the longest snapshot, in bytes: the settings of 60,000 tenants and 9,800 routes take about 4 MB of it.
+	mostSnapshot = 32 << 20
 )
 
 // Config of a log.
@@ -39,6 +43,8 @@
 	Machine   Machine       // what else is built from the entries and outlives a snapshot; nil: nothing
 	Beat      time.Duration // a leader silent for so long is replaced; 50 ms and more, 0: 500 ms
 	Out       io.Writer     // raft's own lines; nil: none
+	// Stream takes the place of each connection with one that counts or delays what passes; nil: none.
+	Stream func(net.Conn) net.Conn
 }
 
 // Machine is a state that every member builds alike from the entries, on raft's goroutine. What it encodes replaces all
@@ -90,6 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
+	layer.stream = c.Stream
 	l := &Log{reader: r, table: table, more: c.Machine, stores: raft.NewInmemStore()}
 	snapshots := raft.NewInmemSnapshotStore()
 	transport := raft.NewNetworkTransportWithLogger(layer, connections, dialFor, logger)
@@ -171,6 +178,9 @@
 		return nil, err
 	}
 	b, err := json.Marshal(k)
+	if err == nil && len(b) > mostSnapshot {
+		err = fmt.Errorf("log: snapshot of %d bytes, expected at most %d", len(b), mostSnapshot)
+	}
 	return snapshot(b), err
 }
 
@@ -182,10 +192,13 @@
 
 func (m machine) Restore(r io.ReadCloser) error {
 	defer r.Close()
-	b, err := io.ReadAll(io.LimitReader(r, 1<<20))
+	b, err := io.ReadAll(io.LimitReader(r, mostSnapshot+1))
 	if err != nil {
 		return err
 	}
+	if len(b) > mostSnapshot {
+		return fmt.Errorf("log: snapshot of more than %d bytes", mostSnapshot)
+	}
 	var k kept
 	if err := json.Unmarshal(b, &k); err != nil {
 		return err
@@ -229,5 +242,15 @@
 	return out
 }
 
+// Follow lets a process follow the log without a vote; at the leader only. It waits until this is agreed.
+func (l *Log) Follow(process, address string) error {
+	return l.raft.AddNonvoter(raft.ServerID(process), located(address, process), 0, changeFor).Error()
+}
+
+// Vote makes a process a voter; at the leader only. It waits until this is agreed.
+func (l *Log) Vote(process, address string) error {
+	return l.raft.AddVoter(raft.ServerID(process), located(address, process), 0, changeFor).Error()
+}
+
 // Term is raft's, for who watches elections.
 func (l *Log) Term() uint64 { return l.raft.CurrentTerm() }
