--- a/cmd/thymelab/scale.go
+++ b/cmd/thymelab/scale.go
@@ -15,10 +15,12 @@
 	"thymechute/internal/lab/scale"
 	"thymechute/internal/lab/scale/decisions"
 	"thymechute/internal/lab/scale/instance"
+	"thymechute/internal/lab/scale/members"
+	"thymechute/internal/lab/scale/raftlog"
 )
 
 // scaleParts are the measurements, in the order in which they run.
-var scaleParts = []scale.Part{instance.New(), decisions.Part{}}
+var scaleParts = []scale.Part{members.Part{}, raftlog.Part{}, instance.New(), decisions.Part{}}
 
 const scaleTime = 15 * time.Minute // of one part, at the most
 
