Decide configuration: versioned resources, digests by bucket, a tree of who asks whom

The package decides what makes a version (a command of the agreed log under the duty's token), what a relay answers and pushes within its pace, and what a member puts in force: whole, by its digest, never back.

--- /dev/null
+++ b/internal/decide/configuration/wire_test.go
@@ -0,0 +1,147 @@
+package configuration_test
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"thymechute/internal/decide/configuration"
+)
+
+func drawVersion(t *rapid.T) configuration.Version {
+	return configuration.Version{Token: rapid.Uint64().Draw(t, "token"), Counter: rapid.Uint64().Draw(t, "counter")}
+}
+
+func drawResource(t *rapid.T) *configuration.Resource {
+	r, err := configuration.NewResource(configuration.Type(rapid.IntRange(1, 3).Draw(t, "type")),
+		rapid.StringN(1, 20, 80).Draw(t, "name"), rapid.StringN(0, 50, 200).Draw(t, "body"), drawVersion(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func drawAt(t *rapid.T) configuration.At {
+	return configuration.At{Version: drawVersion(t), Root: rapid.Uint64().Draw(t, "root"),
+		Age: time.Duration(rapid.IntRange(0, 1e6).Draw(t, "ms")) * time.Millisecond}
+}
+
+func drawMessage(t *rapid.T) configuration.Message {
+	digests := func() []uint32 { return rapid.SliceOfN(rapid.Uint32(), 0, 9).Draw(t, "digests") }
+	switch rapid.IntRange(0, 7).Draw(t, "kind") {
+	case 0:
+		return configuration.Hello{Version: drawVersion(t), Root: rapid.Uint64().Draw(t, "root")}
+	case 1:
+		return configuration.Head{At: drawAt(t), Repair: rapid.Bool().Draw(t, "repair")}
+	case 2:
+		d := configuration.Delta{At: drawAt(t), From: drawVersion(t), Changes: []configuration.Change{}}
+		for range rapid.IntRange(0, 5).Draw(t, "changes") {
+			d.Changes = append(d.Changes, configuration.Change{Resource: drawResource(t)})
+		}
+		return d
+	case 3:
+		m := configuration.Sums{}
+		for n := range m.Groups {
+			m.Groups[n] = rapid.Uint32().Draw(t, "sum")
+		}
+		return m
+	case 4:
+		m := configuration.Groups{At: drawAt(t), Groups: []configuration.GroupSums{}}
+		for n := range rapid.IntRange(0, 3).Draw(t, "groups") {
+			m.Groups = append(m.Groups, configuration.GroupSums{Group: uint8(n * 9)})
+		}
+		return m
+	case 5:
+		m := configuration.Buckets{Buckets: []configuration.BucketSums{}}
+		for n := range rapid.IntRange(0, 4).Draw(t, "buckets") {
+			m.Buckets = append(m.Buckets, configuration.BucketSums{Bucket: uint16(n * 777), Digests: digests()})
+		}
+		return m
+	case 6:
+		m := configuration.Fill{At: drawAt(t), Buckets: []configuration.BucketFill{}}
+		if rapid.Bool().Draw(t, "one") {
+			r := drawResource(t)
+			m.Buckets = append(m.Buckets, configuration.BucketFill{Bucket: configuration.BucketOf(r), Drop: digests(),
+				Add: []*configuration.Resource{r}})
+		}
+		return m
+	}
+	return configuration.Refer{}
+}
+
+func TestMessagesComeBackFromTheirBytes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := drawMessage(t)
+		b := configuration.Append(nil, m)
+		found, err := configuration.Decode(b)
+		if err != nil || !reflect.DeepEqual(found, m) {
+			t.Fatalf("%#v\ncame back as %#v, %v", m, found, err)
+		}
+	})
+}
+
+func TestDamagedMessagesAreRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := configuration.Append(nil, drawMessage(t))
+		switch rapid.IntRange(0, 1).Draw(t, "damage") {
+		case 0:
+			b[rapid.IntRange(0, len(b)-1).Draw(t, "at")] ^= byte(1 << rapid.IntRange(0, 7).Draw(t, "bit"))
+		default:
+			b = b[:rapid.IntRange(0, len(b)-1).Draw(t, "length")]
+		}
+		if m, err := configuration.Decode(b); err == nil {
+			t.Fatalf("taken as %#v", m)
+		}
+	})
+}
+
+// Bytes with a right checksum but any content: refused or a message, never a panic, and nothing larger than they allow.
+func TestAnyBytesAreRefusedOrAMessage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		body := rapid.SliceOfN(rapid.Byte(), 1, 400).Draw(t, "body")
+		body[0] %= 11
+		m, err := configuration.Decode(configuration.Seal(body))
+		if err == nil && m == nil {
+			t.Fatal("neither a message nor an error")
+		}
+	})
+}
+
+func TestDecodeRefusesWhatBreaksABound(t *testing.T) {
+	for name, c := range map[string]struct {
+		body []byte
+		why  configuration.Reason
+	}{
+		"unknown kind":                   {[]byte{99}, configuration.UnknownType},
+		"unknown type of resource":       {[]byte{3, 1, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 0, 1, 9, 1, 'a', 0}, configuration.UnknownType},
+		"more things than bytes":         {[]byte{3, 1, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 0, 200, 1, 1, 'a', 0}, configuration.Malformed},
+		"bytes after the end":            {[]byte{8, 0}, configuration.Malformed},
+		"buckets out of order":           {[]byte{6, 2, 5, 0, 5, 0}, configuration.Malformed},
+		"bucket past the last":           {[]byte{6, 1, 0x80, 0x20, 0}, configuration.Malformed},
+		"an empty name":                  {[]byte{3, 1, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 0, 1, 1, 0, 0}, configuration.OverBound},
+		"a resource in the wrong bucket": {[]byte{7, 1, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 1, 1, 1, 'a', 0}, configuration.Malformed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := configuration.Decode(configuration.Seal(c.body))
+			wantRefusal(t, err, c.why)
+		})
+	}
+	_, err := configuration.Decode(make([]byte, configuration.MostMessage+1))
+	wantRefusal(t, err, configuration.OverBound)
+}
+
+func TestCommandsComeBackFromTheirBytes(t *testing.T) {
+	v := version(4, 2)
+	c := command(t, version(3, 1), v, "a", "1", "b", "2")
+	c.Changes = append(c.Changes, configuration.Change{Resource: resource(t, "gone", "", v), Removed: true})
+	found, err := configuration.DecodeCommand(c.Encode())
+	if err != nil || !reflect.DeepEqual(found, c) {
+		t.Errorf("%#v came back as %#v, %v", c, found, err)
+	}
+	b := c.Encode()
+	b[5] ^= 1
+	_, err = configuration.DecodeCommand(b)
+	wantRefusal(t, err, configuration.WrongDigest)
+}
