--- a/cmd/thymelab/main.go
+++ b/cmd/thymelab/main.go
@@ -42,7 +42,7 @@
 	stand := &cobra.Command{Use: "stand", Short: "Start a stand-in of an outside party"}
 	stand.AddCommand(standBroker(), standRuntime())
 	run := &cobra.Command{Use: "run", Short: "Run an experiment: the real program and stand-ins"}
-	run.AddCommand(runAMQP(), runStorm(), runSubsets(), runOwner(), runRing(), runRoll(), runFleet())
+	run.AddCommand(runAMQP(), runStorm(), runSubsets(), runOwner(), runRing(), runRoll(), runConfiguration(), runFleet())
 	root.AddCommand(stand, run)
 	return root
 }
--- a/internal/decide/configuration/configuration.go
+++ b/internal/decide/configuration/configuration.go
@@ -6,7 +6,7 @@
 //
 // Tables: a State holds MostResources and MostStateBytes, emptied by changes that remove; a History MostHistory deltas and
 // MostHistoryBytes, the oldest dropped; a Server MostChildren children at a relay and MostControlChildren at a control
-// machine, each dropped once silent for childSilence; a Member its sources (as many as the tree names, replaced by Place)
+// machine, each dropped once silent; a Member its sources (as many as the tree names, replaced by Place)
 // and at most one repair, which ends by its commit, its last round or a change of source. There is no queue: a message
 // that the pace doesn't allow isn't sent, and the next poll or tick asks again from the state as it is then.
 package configuration
@@ -27,7 +27,7 @@
 	MostName         = 256       // of a resource's name
 	MostBody         = 4096      // of a resource's body
 	MostChanges      = 1024      // changes in one version
-	MostChangeBytes  = 32 << 10  // names and bodies of one version's changes
+	MostChangeBytes  = 24 << 10  // names and bodies of one version's changes
 	MostHistory      = 4096      // deltas kept
 	MostHistoryBytes = 1 << 20   // names and bodies of the deltas kept
 	MostMessage      = 512 << 10 // of one encoded message
--- a/internal/decide/configuration/control.go
+++ b/internal/decide/configuration/control.go
@@ -30,7 +30,7 @@
 func NewControl(now time.Duration, h Host, s *Store) *Control {
 	c := &Control{store: s}
 	c.server = server{host: h, control: true, state: s.state, history: &s.history, fresh: now, mostChild: MostControlChildren,
-		pace: Pace{Rate: controlRate, Burst: controlBurst}}
+		pace: Pace{Bin: controlBin, Budget: controlBudget}}
 	return c
 }
 
--- /dev/null
+++ b/internal/decide/configuration/emulated_test.go
@@ -0,0 +1,56 @@
+package configuration_test
+
+import (
+	"testing"
+
+	"thymechute/internal/decide/configuration"
+	"thymechute/internal/lab/emu"
+)
+
+func TestEmulatedDayThroughFaults(t *testing.T) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		f := emu.Configuration(emu.NewConfigurationDay(48), seed)
+		if err := f.Fault(); err != nil {
+			t.Errorf("seed %d: %v\n%+v", seed, err, f)
+		}
+		if again := emu.Configuration(emu.NewConfigurationDay(48), seed); again != f {
+			t.Errorf("seed %d gives %+v, then %+v", seed, f, again)
+		}
+	}
+}
+
+func TestWithAGuardTakenOutTheEmulatedDayFails(t *testing.T) {
+	for name, c := range map[string]struct {
+		without func(func())
+		seen    func(f emu.ConfigurationFigures) int
+	}{
+		"the fence":          {configuration.Unfence, func(f emu.ConfigurationFigures) int { return f.StaleAccepted }},
+		"all or nothing":     {configuration.Tear, func(f emu.ConfigurationFigures) int { return f.HalfApplied }},
+		"the digests' check": {configuration.Uncheck, func(f emu.ConfigurationFigures) int { return f.HalfApplied }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c.without(func() {
+				seen := 0
+				for seed := uint64(1); seed <= 3; seed++ {
+					f := emu.Configuration(emu.NewConfigurationDay(48), seed)
+					seen += c.seen(f)
+					if c.seen(f) > 0 && f.Fault() == nil {
+						t.Error("seen, but the run's claim holds")
+					}
+				}
+				if seen == 0 {
+					t.Errorf("with %s taken out the emulated day sees nothing", name)
+				}
+			})
+		})
+	}
+}
+
+func TestMemoryOfAMember(t *testing.T) {
+	day := emu.NewConfigurationDay(1200)
+	state, history := emu.ConfigurationMemory(day)
+	t.Logf("%d bytes for %d resources, %d for the history", state, day.Tenants+day.Routes, history)
+	if state > 16<<20 || history > 6<<20 {
+		t.Errorf("%d bytes for the state, %d for the history; expected 16 MB and 6 MB at most", state, history)
+	}
+}
--- a/internal/decide/configuration/member.go
+++ b/internal/decide/configuration/member.go
@@ -20,6 +20,7 @@
 	tryFor     = 1600 * time.Millisecond
 	staleAfter = 10 * time.Second // of age, over what polls down the tree add up to: the heir may know more
 	staleTry   = 12 * time.Second // between changes of source for age, with jitter
+	controlOld = 4 * time.Second  // of age: a control machine that the log's leader doesn't reach
 	homeAfter  = 10 * time.Second // back from another source to the first, with jitter
 	blameFor   = time.Minute      // for which a source that sent what it shouldn't isn't asked
 )
@@ -36,7 +37,9 @@
 	poll    time.Duration // when it asks next
 	asked   time.Duration
 	home    time.Duration // when it tries the first again
+	newest  Version       // that its source is known to have
 	stale   time.Duration // when it may leave a source for its age
+	tries   int           // control machines that it left for their age since then
 	blamed  []blame
 	repair  *repair
 }
@@ -46,21 +49,22 @@
 	until time.Duration
 }
 
-// NewMember is of a process that has just started with a state (Empty, or what it kept). seed is its own.
-func NewMember(now time.Duration, h Host, s *State, seed uint64) *Member {
-	m := &Member{chance: chance.New(seed)}
-	m.server = server{host: h, state: s, history: &History{}, fresh: now, mostChild: MostChildren,
-		pace: Pace{Rate: relayRate, Burst: relayBurst}}
+// NewMember is of a process that has just started with a state (Empty, or what it kept) of an age. seed is its own.
+func NewMember(now time.Duration, h Host, s *State, age time.Duration, seed uint64) *Member {
+	m := &Member{chance: chance.New(seed), stale: now + staleTry}
+	m.server = server{host: h, state: s, history: &History{}, fresh: now - age, mostChild: MostChildren,
+		pace: Pace{Bin: relayBin, Budget: relayBudget}}
 	return m
 }
 
-// Place gives the member its sources; it keeps the one it asks where that is still the first.
+// Place gives the member its sources; it keeps the one it asks where that is still the
+// first, or where it is in the middle of a repair.
 func (m *Member) Place(now time.Duration, s Sources) {
-	before := m.source()
+	before, busy := m.source(), m.repairing()
 	m.sources, m.near = slices.Concat(s.Near, s.Last), len(s.Near)
 	m.blamed = slices.DeleteFunc(m.blamed, func(b blame) bool { return !slices.Contains(m.sources, b.name) })
-	m.to = 0
-	if before == "" || before != m.source() {
+	m.to = max(0, slices.Index(m.sources, before))
+	if before != m.source() || m.to > 0 && !busy {
 		m.turn(now, 0)
 	}
 }
@@ -95,9 +99,9 @@
 		}
 	}
 	m.Counts.Left++
+	m.newest = Version{}
 	m.since, m.poll, m.asked = now, now+m.jitter(pollSoon/3), 0
 	m.home = now + homeAfter + m.jitter(homeAfter/2)
-	m.stale = now + staleTry + m.jitter(staleTry/2)
 	if m.repair != nil {
 		m.repair.begin(notYet)
 	}
@@ -132,8 +136,9 @@
 	case quiet > most:
 		m.turn(now, m.to+1)
 	case m.Age(now) > staleAfter && now >= m.stale && m.near > 1 && !m.repairing():
+		m.stale = now + staleTry + m.jitter(staleTry/2)
 		m.turn(now, (min(m.to, m.near-1)+1)%m.near)
-	case m.to >= m.homes() && now >= m.home && !m.repairing():
+	case m.to >= m.homes() && now >= m.home && m.newest.Compare(m.state.version) <= 0:
 		m.turn(now, 0)
 	}
 	if m.repair != nil {
@@ -209,9 +214,24 @@
 	}
 }
 
+// old leaves a control machine that the agreed log doesn't reach, where another may be reached: each once, then a pause.
+func (m *Member) old(now time.Duration, from string, a At) {
+	if from != m.source() || m.to < m.near && m.near < len(m.sources) || a.Age <= controlOld || now < m.stale {
+		return
+	}
+	if m.tries++; m.tries >= len(m.sources)-1 {
+		m.tries, m.stale = 0, now+staleTry+m.jitter(staleTry/2)
+	}
+	m.turn(now, m.to+1)
+}
+
 func (m *Member) head(now time.Duration, from string, h Head) error {
 	m.confirmed(now, h.At)
+	if from == m.source() {
+		m.newest = h.Version
+	}
 	if h.Version.Compare(m.state.version) <= 0 || from != m.source() {
+		m.old(now, from, h.At)
 		return nil
 	}
 	if !h.Repair {
--- a/internal/decide/configuration/pace.go
+++ b/internal/decide/configuration/pace.go
@@ -1,24 +1,36 @@
-// This file owns how many bytes a server may send for what it pushes and repairs. It must never let more through than
-// its burst and its rate allow.
+// This file owns how many bytes a server may send for what it pushes and repairs. It must never let more through in any
+// window than its budget.
 
 package configuration
 
 import "time"
 
-// Pace is a token bucket. Rate is bytes a second, Burst bytes at once.
+const paceBins = 13 // any window of twelve bins' length lies within thirteen bins
+
+// Pace bounds bytes over a sliding window of twelve bins: at most Budget in any of them.
 type Pace struct {
-	Rate, Burst float64
-	spent       float64
-	at          time.Duration
+	Bin    time.Duration
+	Budget int // bytes
+	bins   [paceBins]int
+	sum    int
+	at     int64 // the present bin's number
 }
 
 // take tells whether so many bytes may go now, and counts them where they may.
 func (p *Pace) take(now time.Duration, bytes int) bool {
-	p.spent = max(0, p.spent-p.Rate*(now-p.at).Seconds())
-	p.at = now
-	if p.spent+float64(bytes) > p.Burst {
+	bin := int64(now / p.Bin)
+	if bin-p.at >= paceBins {
+		p.bins, p.sum, p.at = [paceBins]int{}, 0, bin
+	}
+	for p.at < bin {
+		p.at++
+		p.sum -= p.bins[p.at%paceBins]
+		p.bins[p.at%paceBins] = 0
+	}
+	if p.sum+bytes > p.Budget {
 		return false
 	}
-	p.spent += float64(bytes)
+	p.bins[bin%paceBins] += bytes
+	p.sum += bytes
 	return true
 }
--- a/internal/decide/configuration/server.go
+++ b/internal/decide/configuration/server.go
@@ -11,20 +11,24 @@
 // What a server may hold and send.
 const (
 	MostChildren        = 12 // at a relay: its own, those of one that is gone, and some that change over
-	MostControlChildren = 64 // at a control machine: the zones' first, and members that start
-
-	mostRelayDelta   = 24 << 10  // bytes; a relay refers a child that lacks more to a control machine
-	mostControlDelta = 256 << 10 // bytes; a control machine lets a child that lacks more compare digests
-	mostRelayGroups  = 6         // groups that differ; a relay refers a child where more do
-	mostRelayFill    = 8 << 10   // bytes
-	mostControlFill  = 64 << 10  // bytes
-	groupSumsSize    = 1 + 4*fan // bytes
+	MostControlChildren = 96 // at a control machine: the zones' first, and members that start or lack much
+
+	mostRelayDelta   = MostChangeBytes // a relay refers a child that lacks more to a control machine
+	mostControlDelta = 256 << 10       // bytes; a control machine lets a child that lacks more compare digests
+	mostRelayGroups  = 6               // groups that differ; a relay refers a child where more do
+	mostRelayFill    = 8 << 10         // bytes
+	mostControlFill  = 256 << 10       // bytes
+	groupSumsSize    = 1 + 4*fan       // bytes
+	messageSize      = 100             // bytes of a message beside what it carries, with its carrier's, about
 	childSilence     = 10 * time.Second
-	resendAfter      = time.Second // a delta sent to a child that still says its old version
-	relayRate        = 1500        // bytes a second, mean
-	relayBurst       = 150 << 10   // bytes: a version's most to each child and some that lost theirs
-	controlRate      = 3 << 20
-	controlBurst     = 3 << 20
+	controlSilence   = 5 * time.Second // of a control machine's children
+	resendAfter      = time.Second     // a delta sent to a child that still says its old version
+	resendRate       = 64 << 10        // bytes a second at which a large one is taken to arrive
+
+	relayBin      = 5 * time.Second // the pace's: a minute's window
+	relayBudget   = 240 << 10       // bytes in a window: 4 KB/s of the 6, the rest for polls and what comes in
+	controlBin    = time.Second / 4 // a window of three seconds
+	controlBudget = 6 << 20         // bytes in a window
 )
 
 // server answers for a state; the zero value is not usable.
@@ -53,8 +57,9 @@
 type child struct {
 	name    string
 	heard   time.Duration
-	version Version // it says it has, or was sent since
-	sentAt  time.Duration
+	version Version       // it says it has, or was sent since
+	resend  time.Duration // before which what it was sent may still be under way
+	refer   time.Duration // before which it isn't referred again unasked
 }
 
 func (s *server) at(now time.Duration) At {
@@ -107,53 +112,63 @@
 }
 
 func (s *server) hello(now time.Duration, c *child, m Hello) {
-	inFlight := c.sentAt > 0 && now-c.sentAt < resendAfter && m.Version.Compare(c.version) < 0
-	if !inFlight {
+	if now >= c.resend || m.Version.Compare(c.version) >= 0 {
 		c.version = m.Version
 	}
 	if c.version.Compare(s.state.version) >= 0 {
 		s.host.Send(c.name, Head{At: s.at(now)})
 		return
 	}
-	changes, kept := s.history.since(c.version)
-	size := sizeOf(changes)
+	size, kept := s.history.sizeSince(c.version)
 	switch {
 	case !kept || s.control && size > mostControlDelta:
 		s.host.Send(c.name, Head{At: s.at(now), Repair: true})
 	case !s.control && size > mostRelayDelta:
 		s.refer(c.name)
-	case !s.send(now, c, changes, size):
+	case s.send(now, c, size):
+	case s.control:
 		s.host.Send(c.name, Head{At: s.at(now)})
+	default:
+		s.refer(c.name) // a control machine has more to spend
 	}
 }
 
 // send brings a child from the version it has to the one in force, if the pace allows it.
-func (s *server) send(now time.Duration, c *child, changes []Change, size int) bool {
-	if !s.pace.take(now, size) {
+func (s *server) send(now time.Duration, c *child, size int) bool {
+	if !s.pace.take(now, size+messageSize) {
 		s.Counts.Held++
 		return false
 	}
+	changes, _ := s.history.since(c.version)
 	s.host.Send(c.name, Delta{At: s.at(now), From: c.version, Changes: changes})
-	c.version, c.sentAt = s.state.version, now
+	c.version, c.resend = s.state.version, now+resendAfter+time.Duration(size)*time.Second/resendRate
 	return true
 }
 
-// push sends what is new to all children that lack it and have it in the history.
+// push sends what is new to all children that lack it, and refers those that lack too much.
 func (s *server) push(now time.Duration) {
 	for _, c := range s.children {
 		if c.version.Compare(s.state.version) >= 0 {
 			continue
 		}
-		changes, kept := s.history.since(c.version)
-		if size := sizeOf(changes); kept && size <= mostRelayDelta {
-			s.send(now, c, changes, size)
+		size, kept := s.history.sizeSince(c.version)
+		switch {
+		case kept && (size <= mostRelayDelta || s.control && size <= mostControlDelta):
+			s.send(now, c, size)
+		case kept && !s.control && now >= c.refer:
+			c.refer = now + childSilence
+			s.refer(c.name)
 		}
 	}
 }
 
 // tick forgets the silent and sends what was held back.
 func (s *server) tick(now time.Duration) {
-	s.children = slices.DeleteFunc(s.children, func(c *child) bool { return now-c.heard > childSilence })
+	most := childSilence
+	if s.control {
+		most = controlSilence
+	}
+	s.children = slices.DeleteFunc(s.children, func(c *child) bool { return now-c.heard > most })
 	s.push(now)
 }
 
@@ -172,7 +187,7 @@
 	switch {
 	case !s.control && len(answer.Groups) > mostRelayGroups:
 		s.refer(c.name)
-	case s.pace.take(now, len(answer.Groups)*groupSumsSize):
+	case s.pace.take(now, len(answer.Groups)*groupSumsSize+messageSize):
 		s.host.Send(c.name, answer)
 	default:
 		s.Counts.Held++
@@ -197,7 +212,7 @@
 		}
 		answer.Buckets = append(answer.Buckets, fill)
 	}
-	if !s.pace.take(now, size) {
+	if !s.pace.take(now, size+messageSize) {
 		s.Counts.Held++
 		return
 	}
