--- a/internal/decide/configuration/member.go
+++ b/internal/decide/configuration/member.go
@@ -22,7 +22,8 @@
 	staleTry   = 12 * time.Second // between changes of source for age, with jitter
 	controlOld = 4 * time.Second  // of age: a control machine that the log's leader doesn't reach
 	homeAfter  = 10 * time.Second // back from another source to the first, with jitter
-	blameFor   = time.Minute      // for which a source that sent what it shouldn't isn't asked
+	avoidFor   = 30 * time.Second
+	blameFor   = time.Minute // for which a source that sent what it shouldn't isn't asked
 )
 
 // Member is one process of the fleet, relay to those that ask it.
@@ -39,14 +40,15 @@
 	home    time.Duration // when it tries the first again
 	newest  Version       // that its source is known to have
 	stale   time.Duration // when it may leave a source for its age
-	tries   int           // control machines that it left for their age since then
-	blamed  []blame
+	shunned []avoidance   // at most one a source
 	repair  *repair
 }
 
-type blame struct {
-	name  string
-	until time.Duration
+// avoidance is a source that isn't turned to for a while; what one that is refused sends isn't taken either.
+type avoidance struct {
+	name    string
+	until   time.Duration
+	refused bool
 }
 
 // NewMember is of a process that has just started with a state (Empty, or what it kept) of an age. seed is its own.
@@ -62,9 +64,9 @@
 func (m *Member) Place(now time.Duration, s Sources) {
 	before, busy := m.source(), m.repairing()
 	m.sources, m.near = slices.Concat(s.Near, s.Last), len(s.Near)
-	m.blamed = slices.DeleteFunc(m.blamed, func(b blame) bool { return !slices.Contains(m.sources, b.name) })
+	m.shunned = slices.DeleteFunc(m.shunned, func(a avoidance) bool { return !slices.Contains(m.sources, a.name) })
 	m.to = max(0, slices.Index(m.sources, before))
-	if before != m.source() || m.to > 0 && !busy {
+	if before != m.source() || m.to >= m.homes() && !busy {
 		m.turn(now, 0)
 	}
 }
@@ -84,16 +86,16 @@
 	return time.Duration(m.chance.Float() * float64(span))
 }
 
-// turn goes to the first source from a place on that isn't blamed, to that place's where all are.
+// turn goes to the first source from a place on that isn't avoided, to that place's where all are.
 func (m *Member) turn(now time.Duration, place int) {
 	if len(m.sources) == 0 {
 		return
 	}
-	m.blamed = slices.DeleteFunc(m.blamed, func(b blame) bool { return now >= b.until })
+	m.shunned = slices.DeleteFunc(m.shunned, func(a avoidance) bool { return now >= a.until })
 	m.to = place % len(m.sources)
 	for n := range m.sources {
 		next := (place + n) % len(m.sources)
-		if !m.isBlamed(m.sources[next]) {
+		if !m.avoided(m.sources[next]) {
 			m.to = next
 			break
 		}
@@ -107,15 +109,22 @@
 	}
 }
 
-func (m *Member) isBlamed(name string) bool {
-	return slices.ContainsFunc(m.blamed, func(b blame) bool { return b.name == name })
+func (m *Member) avoided(name string) bool {
+	return slices.ContainsFunc(m.shunned, func(a avoidance) bool { return a.name == name })
+}
+
+func (m *Member) refuses(name string) bool {
+	return slices.ContainsFunc(m.shunned, func(a avoidance) bool { return a.name == name && a.refused })
+}
+
+func (m *Member) avoid(now time.Duration, name string, span time.Duration, refused bool) {
+	m.shunned = slices.DeleteFunc(m.shunned, func(a avoidance) bool { return a.name == name })
+	m.shunned = append(m.shunned, avoidance{name, now + span, refused})
 }
 
 // blame leaves a source that sent what can't be, for a while.
 func (m *Member) blame(now time.Duration, from string) {
-	if !m.isBlamed(from) {
-		m.blamed = append(m.blamed, blame{from, now + blameFor})
-	}
+	m.avoid(now, from, blameFor, true)
 	if from == m.source() {
 		m.repair = nil // what was staged may be its work
 		m.turn(now, m.to+1)
@@ -183,7 +192,7 @@
 		m.server.ask(now, from, message)
 		return nil
 	}
-	if !slices.Contains(m.sources, from) || m.isBlamed(from) {
+	if !slices.Contains(m.sources, from) || m.refuses(from) {
 		return refuse(Stranger, "answer of %s", from)
 	}
 	if from == m.source() {
@@ -214,15 +223,16 @@
 	}
 }
 
-// old leaves a control machine that the agreed log doesn't reach, where another may be reached: each once, then a pause.
+// old leaves a control machine that the agreed log doesn't reach, where there is another that isn't known to be so.
 func (m *Member) old(now time.Duration, from string, a At) {
-	if from != m.source() || m.to < m.near && m.near < len(m.sources) || a.Age <= controlOld || now < m.stale {
+	isRelay := m.to < m.near && m.near < len(m.sources)
+	if from != m.source() || isRelay || a.Age <= controlOld {
 		return
 	}
-	if m.tries++; m.tries >= len(m.sources)-1 {
-		m.tries, m.stale = 0, now+staleTry+m.jitter(staleTry/2)
+	m.avoid(now, from, avoidFor, false)
+	if slices.ContainsFunc(m.sources, func(name string) bool { return !m.avoided(name) }) {
+		m.turn(now, m.to+1)
 	}
-	m.turn(now, m.to+1)
 }
 
 func (m *Member) head(now time.Duration, from string, h Head) error {
--- a/internal/decide/configuration/member_test.go
+++ b/internal/decide/configuration/member_test.go
@@ -323,3 +323,34 @@
 		t.Errorf("sent %#v", o.last(t, "c1"))
 	}
 }
+
+func TestMemberLeavesAControlMachineThatTheLogDoesNotReach(t *testing.T) {
+	s := tenants(t, 1)
+	m := configuration.NewMember(0, &outbox{}, s, 0, 1)
+	m.Place(0, configuration.Sources{Near: []string{"c0", "c1", "c2"}}) // the first of a zone
+	answer := func(now, age time.Duration) {
+		_ = m.Received(now, m.Source(), configuration.Head{At: configuration.At{Version: s.Version(), Root: s.Root(), Age: age}})
+	}
+	answer(time.Second, time.Second)
+	if m.Source() != "c0" {
+		t.Fatalf("left for %s although c0 is fresh", m.Source())
+	}
+	answer(2*time.Second, 5*time.Second)
+	if m.Source() != "c1" {
+		t.Fatalf("asks %s", m.Source())
+	}
+	answer(3*time.Second, time.Second)
+	m.Place(4*time.Second, configuration.Sources{Near: []string{"c0", "c1", "c2"}}) // the zone's tree is made anew
+	if m.Source() != "c1" {
+		t.Errorf("went back to %s", m.Source())
+	}
+	answer(5*time.Second, 5*time.Second)
+	answer(5*time.Second, 5*time.Second)
+	last := m.Source()
+	for now := 6 * time.Second; now < 10*time.Second; now += 100 * time.Millisecond {
+		answer(now, 5*time.Second) // all are old: going round helps nobody
+		if m.Source() != last {
+			t.Fatalf("goes round: %s", m.Source())
+		}
+	}
+}
--- a/internal/decide/configuration/server.go
+++ b/internal/decide/configuration/server.go
@@ -19,14 +19,17 @@
 	mostRelayFill    = 8 << 10         // bytes
 	mostControlFill  = 256 << 10       // bytes
 	groupSumsSize    = 1 + 4*fan       // bytes
-	messageSize      = 100             // bytes of a message beside what it carries, with its carrier's, about
+	datagramCost     = 100             // bytes of a message beside what it carries, with its carrier's, about
+	streamCost       = 800             // the same of one that is too large for a datagram, and
+	streamPart       = 16              // one byte more in so many
+	mostDatagram     = 1100            // bytes that a datagram carries, about
 	childSilence     = 10 * time.Second
 	controlSilence   = 5 * time.Second // of a control machine's children
 	resendAfter      = time.Second     // a delta sent to a child that still says its old version
 	resendRate       = 64 << 10        // bytes a second at which a large one is taken to arrive
 
 	relayBin      = 5 * time.Second // the pace's: a minute's window
-	relayBudget   = 240 << 10       // bytes in a window: 4 KB/s of the 6, the rest for polls and what comes in
+	relayBudget   = 220 << 10       // bytes in a window: 3.7 KB/s of the 6, the rest for polls and what comes in
 	controlBin    = time.Second / 4 // a window of three seconds
 	controlBudget = 6 << 20         // bytes in a window
 )
@@ -133,9 +136,17 @@
 	}
 }
 
+// cost is about what a message of a size takes on the wire.
+func cost(size int) int {
+	if size <= mostDatagram {
+		return size + datagramCost
+	}
+	return size + size/streamPart + streamCost
+}
+
 // send brings a child from the version it has to the one in force, if the pace allows it.
 func (s *server) send(now time.Duration, c *child, size int) bool {
-	if !s.pace.take(now, size+messageSize) {
+	if !s.pace.take(now, cost(size)) {
 		s.Counts.Held++
 		return false
 	}
@@ -187,7 +198,7 @@
 	switch {
 	case !s.control && len(answer.Groups) > mostRelayGroups:
 		s.refer(c.name)
-	case s.pace.take(now, len(answer.Groups)*groupSumsSize+messageSize):
+	case s.pace.take(now, cost(len(answer.Groups)*groupSumsSize)):
 		s.host.Send(c.name, answer)
 	default:
 		s.Counts.Held++
@@ -212,7 +223,7 @@
 		}
 		answer.Buckets = append(answer.Buckets, fill)
 	}
-	if !s.pace.take(now, size+messageSize) {
+	if !s.pace.take(now, cost(size)) {
 		s.Counts.Held++
 		return
 	}
