--- a/cmd/thymelab/emulated.go
+++ b/cmd/thymelab/emulated.go
@@ -66,7 +66,7 @@
 			r.Zero("owners_at_once", f.OwnersAtOnce)
 			r.Put("stale_tried", float64(f.StaleTried))
 			r.Zero("stale_accepted", f.StaleAccepted)
-			r.Put("stale_acted_on", float64(f.StaleActed))
+			r.Zero("stale_acted_on", f.StaleActed)
 			r.Put("decisions", float64(f.Decisions))
 			r.Zero("tables_that_differ", f.Diverged)
 			r.Put("takeover_ms_p99", float64(f.TakeoverP99.Milliseconds()))
--- a/cmd/thymelab/main.go
+++ b/cmd/thymelab/main.go
@@ -39,7 +39,7 @@
 	stand := &cobra.Command{Use: "stand", Short: "Start a stand-in of an outside party"}
 	stand.AddCommand(standBroker(), standRuntime())
 	run := &cobra.Command{Use: "run", Short: "Run an experiment: the real program and stand-ins, or the emulator"}
-	run.AddCommand(runAMQP(), runStorm(), runFleet(), runSubsets(), runOwner(), runRing(), runRoll(), runScale())
+	run.AddCommand(runAMQP(), runStorm(), runFleet(), runSubsets(), runOwner(), runRing(), runRoll(), runConfiguration(), runScale())
 	root.AddCommand(stand, run, scaleMembers(), scaleLog())
 	return root
 }
