--- a/internal/lab/scale/raftlog/child.go
+++ b/internal/lab/scale/raftlog/child.go
@@ -21,6 +21,8 @@
 // ChildCommand is the command line's word for a process of logs.
 const ChildCommand = "scale-log"
 
+const addWithin = 30 * time.Second // all, one after the other
+
 // request is what the parent asks.
 type request struct {
 	Do      string        // start, add, propose, read, applied, elect
@@ -80,7 +82,11 @@
 			reply.Peers = append(reply.Peers, h.peer)
 		}
 	case "add":
+		began := time.Now()
 		for n, peer := range r.Peers {
+			if time.Since(began) > addWithin {
+				return reply, fmt.Errorf("added %d of %d within %v", n, len(r.Peers), addWithin)
+			}
 			add := p.logs[0].log.Follow
 			if n < r.Voters {
 				add = p.logs[0].log.Vote
