--- a/internal/lab/scale/instance/figures.go
+++ b/internal/lab/scale/instance/figures.go
@@ -55,8 +55,8 @@
 	{"resident_mb_peak", boundPeakMB, false, func(r *row) float64 { return r.peak }},
 	{"reload_logged_ms_worst", boundReloadMillis, true, func(r *row) float64 { return worst(r.logged) }},
 	{"reload_in_force_ms_worst", boundReloadMillis, true, func(r *row) float64 { return worst(r.inForce) }},
-	{"reload_wait_p99_ms", scale.TargetAddedMillis, false, func(r *row) float64 { return milliseconds(r.waits.At(99)) }},
-	{"reload_wait_longest_ms", boundLongestMillis, false, func(r *row) float64 { return milliseconds(r.waits.Longest()) }},
+	{"reload_wait_p99_ms", scale.TargetAddedMillis, false, func(r *row) float64 { return r.wait(r.waits.At(99)) }},
+	{"reload_wait_longest_ms", boundLongestMillis, false, func(r *row) float64 { return r.wait(r.waits.Longest()) }},
 	{"reload_processor_ms", 0, true, func(r *row) float64 { return r.processor }},
 	{"same_file_ms", 0, true, func(r *row) float64 { return r.same.took() }},
 	{"faulty_file_ms", 0, true, func(r *row) float64 { return r.faulty.took() }},
@@ -121,7 +121,8 @@
 // noteRow makes faults of what was asked for and not had.
 func (m *measuring) noteRow(r *row) {
 	if !r.whole() {
-		m.result.Fault("%d tenants, %d routes: %s; the longest wait %.0f ms", r.tenants, r.classes, r.fault, milliseconds(r.waits.Longest()))
+		m.result.Fault("%d tenants, %d routes: %s; the longest wait %s%.0f ms", r.tenants, r.classes, r.fault, r.atLeast(),
+			milliseconds(r.waits.Longest()))
 	}
 	if r.unserved > 0 {
 		m.result.Fault("%d tenants, %d routes: %d of %d requests of a load without reloads not served", r.tenants, r.classes, r.unserved, r.sent)
--- a/internal/lab/scale/instance/instance_test.go
+++ b/internal/lab/scale/instance/instance_test.go
@@ -135,12 +135,16 @@
 	}
 }
 
-// Rows that a reload ended early give what they have: the longest wait as a series, a fault each, and no figure that was not had.
+// Rows that a reload ended early give what they have: a fault each, the longest wait where it was not cut off, and no figure
+// that was not had.
 func TestRowsEndedEarly(t *testing.T) {
 	m := &measuring{sizes: small(), result: &scale.Result{}}
 	var rows []*row
-	for n, fault := range []string{"", "", "a reload was refused", "no word"} {
+	for n, fault := range []string{"", "", "a reload was refused", "a reload was refused", "no word"} {
 		r := &row{tenants: 1000 * (n + 1), fault: fault, waits: stub.NewDistribution()}
+		if r.first.outcome = refused; fault == "no word" {
+			r.first.outcome = silent
+		}
 		r.waits.Add(time.Duration(n+1) * time.Second)
 		if r.whole() {
 			r.logged, r.inForce, r.oddWaits = []float64{5, 7}, []float64{6, 9}, stub.NewDistribution()
@@ -150,11 +154,12 @@
 	if err := m.addRows(rows, "tenants", scale.TargetTenants, func(r *row) int { return r.tenants }); err != nil {
 		t.Fatal(err)
 	}
-	if len(m.result.Faults) != 2 || !strings.Contains(m.result.Faults[1], "4000 tenants, 0 routes: no word; the longest wait 4") {
+	if len(m.result.Faults) != 3 || !strings.Contains(m.result.Faults[0], "3000 tenants, 0 routes: a reload was refused; the longest wait 3") ||
+		!strings.Contains(m.result.Faults[2], "5000 tenants, 0 routes: no word; the longest wait at least 5") {
 		t.Errorf("%q", m.result.Faults)
 	}
 	if len(m.result.NotRun) != 1 || !strings.Contains(m.result.NotRun[0], "reload_in_force_ms_worst") ||
-		!strings.Contains(m.result.NotRun[0], "3000 (a reload was refused), 4000 (no word)") {
+		!strings.Contains(m.result.NotRun[0], "4000 (a reload was refused), 5000 (no word)") {
 		t.Errorf("not run: %q", m.result.NotRun)
 	}
 	for _, s := range m.result.Series {
--- a/internal/lab/scale/instance/row.go
+++ b/internal/lab/scale/instance/row.go
@@ -3,6 +3,7 @@
 package instance
 
 import (
+	"math"
 	"time"
 
 	"thymechute/internal/stand/stub"
@@ -50,6 +51,23 @@
 // whole tells whether reloads were taken.
 func (r *row) whole() bool { return r.fault == "" }
 
+// wait is one beside a reload in milliseconds; not a number where the reload was not over when it was last looked at: what waited
+// then was cut off, and no fit may take it for the whole.
+func (r *row) wait(t time.Duration) float64 {
+	if r.first.outcome == silent {
+		return math.NaN()
+	}
+	return milliseconds(t)
+}
+
+// atLeast goes before a wait that was cut off.
+func (r *row) atLeast() string {
+	if r.first.outcome == silent {
+		return "at least "
+	}
+	return ""
+}
+
 // measureRow starts a program of that size and takes it through the script; loaded adds the loads with and without reloads.
 func (m *measuring) measureRow(d deployment, change func(*deployment), loaded bool) (*row, error) {
 	d.sockets, d.limited = sockets, true
