policy speaks of classes, tenants, values, key entries, requests and rejections; no behaviour

Names alone, by the table in docs/design.md: band, customer, payoff, receipt, work item and turn back go from policy, and where internal/node, internal/link and internal/testkit named them. policy.Work is policy.Request, Host.TurnBack is Host.Reject; the tests' book says reject where it said back. Not renamed yet: internal/front/amqp, internal/operator (its attributes are the operators' file), internal/lab, internal/verdict, cmd/thymechute's tests.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -202,7 +202,7 @@
 	if err != nil {
 		return err
 	}
-	var w policy.Work
+	var w policy.Request
 	var n [4]uint64
 	n[0], errs[0] = m.Int("cls", false)
 	n[1], errs[1] = m.Int("org", false)
@@ -219,7 +219,7 @@
 	if w.Repeat, err = m.Bool("repeat"); err != nil {
 		return err
 	}
-	w.Band, w.Customer, w.From = int(n[0]), int(n[1]), int(n[2])
+	w.Class, w.Tenant, w.From = int(n[0]), int(n[1]), int(n[2])
 	w.Forerunner = policy.NoForerunner
 	if n[3] != 0 {
 		w.Forerunner = policy.GoneForerunner
@@ -267,7 +267,7 @@
 func (h *host) LeaveOut(w int) { h.say("OMIT", "ticket", h.ticket[w]) }
 func (h *host) Forget(w int)   { h.say("RELEASE_KEY", "ticket", h.ticket[w]) }
 func (h *host) Join(w int)     { h.say("ATTACH", "ticket", h.ticket[w]) }
-func (h *host) TurnBack(w int, comeBack time.Duration, no bool) {
+func (h *host) Reject(w int, comeBack time.Duration, no bool) {
 	h.say("NOT_NOW", "ticket", h.ticket[w], "pause_s", comeBack, "final", no)
 }
 func (h *host) Call(w int, patience time.Duration) {
--- a/internal/node/acts.go
+++ b/internal/node/acts.go
@@ -50,8 +50,8 @@
 	}
 }
 
-// TurnBack answers what has not run.
-func (n *Instance) TurnBack(w int, comeBack time.Duration, no bool) {
+// Reject answers what has not run.
+func (n *Instance) Reject(w int, comeBack time.Duration, no bool) {
 	n.answer(w, Answer{Kind: Rejected, RetryAfter: comeBack, Final: no})
 }
 
--- a/internal/node/arrive.go
+++ b/internal/node/arrive.go
@@ -72,7 +72,7 @@
 func (n *Instance) arrive(w int, ask Ask) {
 	it := &n.items[w]
 	kind := n.kind(it.class)
-	work := policy.Work{Band: it.class, Customer: it.tenant, From: ask.From, Repeat: ask.Again, Rank: ask.Rank,
+	work := policy.Request{Class: it.class, Tenant: it.tenant, From: ask.From, Repeat: ask.Again, Rank: ask.Rank,
 		KB: ask.KB, Forerunner: policy.NoForerunner}
 	work.Waited = min(max(time.Since(ask.Came), 0), longestWait)
 	if ask.CallerTimeout > 0 { // what is past is the module's to end, and no patience at all would mean that none is told
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -24,13 +24,13 @@
 func (s *sides) put(format string, args ...any) {
 	s.lines = append(s.lines, fmt.Sprintf(format, args...))
 }
-func (s *sides) Up() bool                            { return !s.down }
-func (s *sides) Start(rid, band string, body []byte) { s.put("start %s %s %s", rid, band, body) }
-func (s *sides) Stop(rid string)                     { s.put("stop %s", rid) }
-func (s *sides) Give(rid string, reply []byte)       { s.put("give %s %s", rid, reply) }
-func (s *sides) LeaveOut(rid string)                 { s.put("omit %s", rid) }
-func (s *sides) Gauges()                             { s.put("gauges") }
-func (s *sides) SelfTest(tag string)                 { s.put("test") }
+func (s *sides) Up() bool                             { return !s.down }
+func (s *sides) Start(rid, class string, body []byte) { s.put("start %s %s %s", rid, class, body) }
+func (s *sides) Stop(rid string)                      { s.put("stop %s", rid) }
+func (s *sides) Give(rid string, reply []byte)        { s.put("give %s %s", rid, reply) }
+func (s *sides) LeaveOut(rid string)                  { s.put("omit %s", rid) }
+func (s *sides) Gauges()                              { s.put("gauges") }
+func (s *sides) SelfTest(tag string)                  { s.put("test") }
 func (s *sides) Call(rid string, _ time.Duration, b []byte) {
 	s.put("call %s %s", rid, b)
 }
@@ -82,16 +82,16 @@
 }
 
 // ask reads a request that came to the machine so long ago.
-func (n *Instance) ask(s Asker, rid, band, receipt string, ago time.Duration) {
-	if err := n.Arrive(s, rid, Ask{Rid: rid, Class: band, Key: receipt, KB: 1, Came: time.Now().Add(-ago), Body: []byte("x")}); err != nil {
+func (n *Instance) ask(s Asker, rid, class, key string, ago time.Duration) {
+	if err := n.Arrive(s, rid, Ask{Rid: rid, Class: class, Key: key, KB: 1, Came: time.Now().Add(-ago), Body: []byte("x")}); err != nil {
 		panic(err)
 	}
 	n.Round()
 }
 
 // again reads a request that may have run elsewhere.
-func (n *Instance) again(s Asker, rid, band, receipt, body string) {
-	if err := n.Arrive(s, rid, Ask{Rid: rid, Class: band, Key: receipt, KB: 1, Elsewhere: true, Came: time.Now(), Body: []byte(body)}); err != nil {
+func (n *Instance) again(s Asker, rid, class, key, body string) {
+	if err := n.Arrive(s, rid, Ask{Rid: rid, Class: class, Key: key, KB: 1, Elsewhere: true, Came: time.Now(), Body: []byte(body)}); err != nil {
 		panic(err)
 	}
 	n.Round()
@@ -128,7 +128,7 @@
 	s.wants(t, 1, "answer a 2")
 }
 
-func TestReceiptsStayWithinTheirMemory(t *testing.T) {
+func TestKeysStayWithinTheirMemory(t *testing.T) {
 	n, s := up(nil)
 	n.kept = n.room - entryBytes - 4
 	n.ask(s, "a", "keyed", "one", 0)
@@ -152,7 +152,7 @@
 	}
 	n.sweep()
 	if n.kept != others || len(n.keys) != 0 {
-		t.Errorf("%d bytes, %d receipts left", n.kept-others, len(n.keys))
+		t.Errorf("%d bytes, %d keys left", n.kept-others, len(n.keys))
 	}
 	n.room, n.kept = itemBytes, 0
 	n.ask(s, "g", "safe", "", 0)
@@ -160,7 +160,7 @@
 	s.wants(t, 1, "answer h 1")
 }
 
-func TestRepeatReadLateStillMeetsItsReceipt(t *testing.T) {
+func TestRepeatReadLateStillMeetsItsKey(t *testing.T) {
 	n, s := up(func(s *settings.Settings) { s.Classes[1].KeyWindow = settings.Of(0.05) })
 	n.ask(s, "a", "keyed", "key", 0)
 	n.End("a", policy.OK, 0, []byte("one"))
@@ -199,7 +199,7 @@
 }
 
 // Of a key's two windows the longer holds, whichever settings are in force when the repeat comes.
-func TestReceiptKeepsTheLongerOfItsWindows(t *testing.T) {
+func TestKeyKeepsTheLongerOfItsWindows(t *testing.T) {
 	for _, later := range []float64{90, 1} {
 		n, s := up(nil) // with windows of 10 s
 		n.ask(s, "a", "keyed", "k", 0)
@@ -249,7 +249,7 @@
 	s.wants(t, 1, "answer c 0 new")
 }
 
-func TestReceiptsAreEmptiedByTime(t *testing.T) {
+func TestKeysAreEmptiedByTime(t *testing.T) {
 	n, s := up(nil)
 	n.ask(s, "a", "keyed", "key", 0)
 	n.End("a", policy.OK, 0, nil)
@@ -257,7 +257,7 @@
 	n.keys["keyed key"].end, n.swept = n.now-2*afterEnd, 0
 	n.Round()
 	if len(n.keys) != 0 {
-		t.Error("the receipt stays")
+		t.Error("the key entry stays")
 	}
 }
 
--- a/internal/testkit/book.go
+++ b/internal/testkit/book.go
@@ -20,8 +20,8 @@
 
 func (b *Book) Start(w int) { b.put("start %d", w) }
 func (b *Book) Stop(w int)  { b.put("stop %d", w) }
-func (b *Book) TurnBack(w int, comeBack time.Duration, no bool) {
-	b.put("back %d no=%v after=%v", w, no, comeBack)
+func (b *Book) Reject(w int, comeBack time.Duration, no bool) {
+	b.put("reject %d no=%v after=%v", w, no, comeBack)
 }
 func (b *Book) Scrap(w int)                      { b.put("scrap %d", w) }
 func (b *Book) Call(w int, p time.Duration)      { b.put("call %d", w) }
@@ -78,8 +78,8 @@
 	return s
 }
 
-// Settings are those of a small site, in the deployment's words: bands trace, excursion and seal, of which the
-// second is receipted and the third effectful.
+// Settings are those of a small site, in the deployment's words: classes trace, excursion and seal, of which the
+// second is keyed and the third unsafe.
 func Settings() map[string]any {
 	var classes []any
 	for n, kind := range []string{"repeatable", "by_key", "once"} {
--- a/internal/testkit/stub.go
+++ b/internal/testkit/stub.go
@@ -63,11 +63,11 @@
 	}
 }
 
-// Ask sends a request of a band with the body; more fields of its params may follow.
-func (s *Stub) Ask(id int, band, rid, body, more string) {
+// Ask sends a request of a class with the body; more fields of its params may follow.
+func (s *Stub) Ask(id int, class, rid, body, more string) {
 	s.t.Helper()
 	s.Send(`{"jsonrpc":"2.0","id":%d,"method":%q,"params":{"rid":%q,"t0":%d,"peer":1,"acct":"acme","mem":10,"prio":0.5,"doc":%q%s}}`,
-		id, band, rid, time.Now().UnixMilli(), base64.StdEncoding.EncodeToString([]byte(body)), more)
+		id, class, rid, time.Now().UnixMilli(), base64.StdEncoding.EncodeToString([]byte(body)), more)
 }
 
 // Reply is a message to a stub.
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -65,7 +65,7 @@
 	return w
 }
 
-// AtCall brings a work item of the band seal to its call, which the index has read, and returns its stub.
+// AtCall brings a request of the class seal to its call, which the index has read, and returns its stub.
 func (w *World) AtCall(rid, body string) *Stub {
 	w.T.Helper()
 	s := w.Stub()
--- a/policy/advice.go
+++ b/policy/advice.go
@@ -1,4 +1,4 @@
-// This file owns what callers hear: value, health and idle time. It must never decide on a work item.
+// This file owns what callers hear: value, health and idle time. It must never decide on a request.
 
 package policy
 
@@ -13,7 +13,7 @@
 func (i *Instance) adjust() {
 	switch {
 	case i.missed > 0 && (i.flag || i.jam() > 0):
-		i.shed += shedGain * (1 - i.shed) * float64(i.missed) / float64(max(i.read, i.turned))
+		i.shed += shedGain * (1 - i.shed) * float64(i.missed) / float64(max(i.read, i.rejected))
 	case i.waited == 0:
 		i.shed -= shedDown // nothing had to wait: callers keep too much at home
 	case i.lag <= i.limit:
@@ -61,7 +61,7 @@
 
 // jam is 0 to 1: how near the wait before reading is to making all answers late and so unheard.
 func (i *Instance) jam() float64 {
-	return min(max((i.unread/i.firstBand().due.Seconds()-jamFrom)/(jamFull-jamFrom), 0), 1)
+	return min(max((i.unread/i.firstClass().due.Seconds()-jamFrom)/(jamFull-jamFrom), 0), 1)
 }
 
 // say sets the value that rides on all answers, so that callers keep at home what would be refused.
--- a/policy/calls.go
+++ b/policy/calls.go
@@ -20,12 +20,12 @@
 }
 
 // serveCalls issues the calls that may be out. While calls fail or take much of a due time, and after a long
-// stand, bands that can do without leave them out, but for a trial, so that the rest finds room below.
+// stand, classes that can do without leave them out, but for a trial, so that the rest finds room below.
 func (i *Instance) serveCalls(now time.Duration) {
 	down, trial := i.fails >= failures, i.calls == 0 && now >= i.nextTrial
 	spare := (down || i.server.Below == settings.BelowShared && i.slowBelow()) && !trial
 	for _, w := range slices.Clone(i.standing) {
-		b, it := &i.bands[i.items[w].Band], &i.items[w]
+		b, it := &i.classes[i.items[w].Class], &i.items[w]
 		long := (now-it.since).Seconds() > standPart*b.due.Seconds() || (it.use-now).Seconds() < i.callTook
 		if b.poorer > 0 && (spare || long) {
 			i.resume(now, w)
@@ -78,7 +78,7 @@
 	return out, share
 }
 
-func (i *Instance) slowBelow() bool { return i.callTook > callSlow*i.firstBand().due.Seconds() }
+func (i *Instance) slowBelow() bool { return i.callTook > callSlow*i.firstClass().due.Seconds() }
 
 // Returned is the end of a call.
 func (i *Instance) Returned(now time.Duration, w int, o Outcome, took time.Duration) {
@@ -105,7 +105,7 @@
 			i.host.Log("calls stopped: %d failed in a row", i.fails)
 		}
 	}
-	b := &i.bands[it.Band]
+	b := &i.classes[it.Class]
 	if !it.answered && b.poorer > 0 {
 		i.host.LeaveOut(w)
 		return
--- a/policy/cores.go
+++ b/policy/cores.go
@@ -38,10 +38,10 @@
 			w := i.held[n]
 			d := i.density(now, w)
 			if d <= 0 {
-				i.turnBack(now, w, true)
+				i.reject(now, w, true)
 				continue
 			}
-			it, b := &i.items[w], &i.bands[i.items[w].Band]
+			it, b := &i.items[w], &i.classes[i.items[w].Class]
 			if stopped && b.calls && b.poorer == 0 || !i.fits(i.runKB(it.KB)) {
 				continue
 			}
@@ -76,7 +76,7 @@
 		i.sample(now, it)
 		if o == OK {
 			i.done++
-			b, run := &i.bands[it.Band], max((took-it.callTime).Seconds(), 1e-4)
+			b, run := &i.classes[it.Class], max((took-it.callTime).Seconds(), 1e-4)
 			learn(&b.latency, run, b.ended+3)
 			learn(&b.span, took.Seconds(), b.ended+3)
 			if it.Hint > 0 {
@@ -90,6 +90,6 @@
 			i.host.Scrap(w)
 		}
 	}
-	it.ran = it.ran && o != Moot // a receipt of what was never started must not stand in a later try's way
+	it.ran = it.ran && o != Moot // a key entry of what was never started must not stand in a later try's way
 	i.drop(w)
 }
--- a/policy/ends.go
+++ b/policy/ends.go
@@ -1,4 +1,4 @@
-// This file owns due times: each work item gets its answer by then. It must never turn back what ran.
+// This file owns due times: each request gets its answer by then. It must never reject what ran.
 
 package policy
 
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// scrap answers a work item that has run; what is on the cores goes on unless it can be stopped.
+// scrap answers a request that has run; what is on the cores goes on unless it can be stopped.
 func (i *Instance) scrap(now time.Duration, w int) {
-	it, b := &i.items[w], &i.bands[i.items[w].Band]
+	it, b := &i.items[w], &i.classes[i.items[w].Class]
 	i.sample(now, it)
 	if took := (now - it.began).Seconds(); took > b.span {
 		learn(&b.latency, max(took-it.callTime.Seconds(), b.latency), 16) // a run cut off took at least so long
@@ -27,12 +27,12 @@
 	}
 }
 
-// CallerGone: nobody waits for this work item any more, so no answer is owed.
+// CallerGone: nobody waits for this request any more, so no answer is owed.
 func (i *Instance) CallerGone(now time.Duration, w int) {
 	it := &i.items[w]
 	if it.state == held || it.state == joined {
 		i.drop(w)
-	} else if it.answered = true; i.bands[it.Band].safe || it.state == atCall {
+	} else if it.answered = true; i.classes[it.Class].safe || it.state == atCall {
 		i.halt(it, w)
 	}
 }
@@ -60,9 +60,9 @@
 	i.host.Wake(i.wanted)
 	past := func(end time.Duration) bool { return end <= now }
 	i.meter(now)
-	kept := len(i.receipts)
-	i.receipts, i.lingering = slices.DeleteFunc(i.receipts, past), slices.DeleteFunc(i.lingering, past)
-	i.memory -= float64(kept-len(i.receipts)) * i.server.KeyEntryKB.Or(0)
+	kept := len(i.entries)
+	i.entries, i.lingering = slices.DeleteFunc(i.entries, past), slices.DeleteFunc(i.lingering, past)
+	i.memory -= float64(kept-len(i.entries)) * i.server.KeyEntryKB.Or(0)
 	for w := range i.items {
 		it := &i.items[w]
 		if it.state == absent || it.answered {
@@ -72,7 +72,7 @@
 		switch {
 		case it.state == held:
 			if late || i.density(now, w) <= 0 {
-				i.turnBack(now, w, true)
+				i.reject(now, w, true)
 			}
 		case it.state == joined && late:
 			i.host.Scrap(w)
--- a/policy/instance.go
+++ b/policy/instance.go
@@ -1,4 +1,4 @@
-// Package policy decides, inside one server, which work items run, wait or are turned back.
+// Package policy decides, inside one server, which requests run, wait or are rejected.
 //
 // The adapter makes one Instance with New and calls a method for each thing that happens (Arrived and so on;
 // SetServer and so on for later settings), then Settle once all that came in together was handed on. It acts
@@ -19,15 +19,15 @@
 	ms                   = time.Millisecond
 	sweepGap             = 20 * ms  // between two Ticks
 	period               = 500 * ms // between two samples of lag
-	duePart              = 0.4      // of the bands' due times, in base latencies: lag over it is a crossing
+	duePart              = 0.4      // of the classes' due times, in base latencies: lag over it is a crossing
 	baseDrift            = 0.003    // a base latency's way back to the recent one, a period
 	dampening            = 2        // crossings in a row before the flag goes up
-	shedGain             = 0.3      // part of the share turned back that the free value takes over a period
+	shedGain             = 0.3      // part of the share rejected that the free value takes over a period
 	margin               = 40 * ms  // answers leave so long before they are due
 	stall                = 100 * ms // a Tick so late tells of a standstill
 	leastIdle            = 0.1      // part of the callers' own time after which idle connections close, at first
 	intakePart, doorGain = 0.5, 0.1 // connections and reads in hand a core, aimed at; change a period
-	everywhere           = 0.05     // share turned back over which other servers are taken to be no better off
+	everywhere           = 0.05     // share rejected over which other servers are taken to be no better off
 	repeatsElse          = 0.1      // the same told by the share of marked repeats read, for the list
 
 	shedDown, shedEase, shedMost    = 0.1, 0.03, 0.95 // free value: down a calm period, a light one; most
@@ -35,7 +35,7 @@
 	leastPause, leastLimit, idleTry = 0.05, 0.5, 0.01 // advice, seconds; threshold; chance on an idle server
 	jamFrom, jamFull, jamTold       = 0.15, 0.5, 0.5  // unread waits in due times: begins, full; logged from
 	jamCut, jamFade                 = 0.5, 0.9        // of those that run, in a full jam; wait left a Tick
-	again, crowdPart                = 0.25, 0.75      // payoff of a marked repeat; part used of the crowd
+	again, crowdPart                = 0.25, 0.75      // value of a marked repeat; part used of the crowd
 	leastFit, fill                  = 0.8, 0.95       // of its run that must fit; of memory that is used
 	failures, trialGap              = 5, 500 * ms     // calls failed in a row before they stop; between trials
 	leastSaid, leastWindow          = 0.01, 0.1       // change of the free value worth saying; a caller's window
@@ -58,16 +58,16 @@
 )
 
 type item struct {
-	Work
+	Request
 	state                 state
 	arrived, due, use     time.Duration // use: an answer after this is late
 	began, wait, callTime time.Duration
-	since, receiptEnds    time.Duration // since: at a call since
+	since, entryEnds      time.Duration // since: at a call since
 	answered, ran, beyond bool
 }
 
-type band struct {
-	payoff, poorer                      float64 // poorer: the part of it paid for an answer without its call
+type class struct {
+	value, poorer                       float64 // poorer: the part of it paid for an answer without its call
 	due, patience, window               time.Duration
 	calls, safe, keyed, free            bool    // free: of no class, to be used again
 	base, latency, span, perHint, ended float64 // seconds: least seen, recent run less calls, recent run
@@ -77,32 +77,32 @@
 type Instance struct {
 	host      Host
 	server    settings.Server
-	bands     []band
-	customers []share.Bucket
+	classes   []class
+	tenants   []share.Bucket
 	items     []item          // by index; as long as the most live at one time
-	held      []int           // emptied by a start, a turn-back or the caller's leaving
+	held      []int           // emptied by a start, a rejection or the caller's leaving
 	standing  []int           // at a call not out; emptied by the call or an answer
-	receipts  []time.Duration // ends of those in the key table; emptied by time and by Forget
+	entries   []time.Duration // ends of those in the key table; emptied by time and by Forget
 	lingering []time.Duration // ends of calls given up; emptied by time
 	from      map[int]bool    // callers read in this period; emptied each period
 	chance    uint64
 
 	cores, onCores, calls, crossings, fails, jams int
-	inUse, lowest                                 int // bands that are not free, and the first of them
+	inUse, lowest                                 int // classes that are not free, and the first of them
 
-	memory, ram, size, width      float64    // size: kilobytes of a held work item, lately; width: how many run
-	callShare, callUse, callTook  float64    // calls out in the mean, the part in use, their recent time
-	overCalled, sends             float64    // call-seconds used beyond the share; reads a period, lately
-	sum, count                    [2]float64 // latency ratios of ended starts: this period's, the last's
-	unread, turnedShare, repeats  float64    // lately: seconds unread, share of the read, of marked repeats
-	read, marked, turned, missed  int        // in this period, as done (runs) and
-	done, waited                  int        // waited (Ticks that found work waiting for a start)
-	lag, limit, shed, said        float64    // limit: the threshold of lag
-	open, intake, ticks           float64    // idle time, as a part; a period's sum of intake in hand
-	idleCores, full               float64    // a period's sum of idle cores, as parts; Ticks that found no room
-	flag, jammed, unfit, stops    bool       // stops: a run can be taken off the cores
-	nextTrial, nextSample, wanted time.Duration
-	metered, grace, stopAt, idle  time.Duration
+	memory, ram, size, width       float64    // size: kilobytes of a held request, lately; width: how many run
+	callShare, callUse, callTook   float64    // calls out in the mean, the part in use, their recent time
+	overCalled, sends              float64    // call-seconds used beyond the share; reads a period, lately
+	sum, count                     [2]float64 // latency ratios of ended starts: this period's, the last's
+	unread, rejectedShare, repeats float64    // lately: seconds unread, share of the read, of marked repeats
+	read, marked, rejected, missed int        // in this period, as done (runs) and
+	done, waited                   int        // waited (Ticks that found work waiting for a start)
+	lag, limit, shed, said         float64    // limit: the threshold of lag
+	open, intake, ticks            float64    // idle time, as a part; a period's sum of intake in hand
+	idleCores, full                float64    // a period's sum of idle cores, as parts; Ticks that found no room
+	flag, jammed, unfit, stops     bool       // stops: a run can be taken off the cores
+	nextTrial, nextSample, wanted  time.Duration
+	metered, grace, stopAt, idle   time.Duration
 }
 
 // New makes the instance of a server that has just started. Classes and tenants are numbered by their place;
@@ -114,10 +114,10 @@
 	for n, class := range s.Classes {
 		i.SetClass(n, class)
 	}
-	if len(i.bands) == 0 {
+	if len(i.classes) == 0 {
 		i.SetClass(0, settings.Class{})
 	}
-	i.customers = make([]share.Bucket, 0, len(s.Tenants))
+	i.tenants = make([]share.Bucket, 0, len(s.Tenants))
 	for n, tenant := range s.Tenants {
 		i.SetTenant(n, tenant)
 	}
--- a/policy/lag.go
+++ b/policy/lag.go
@@ -1,4 +1,4 @@
-// This file owns lag, the sample of it each period, and the flag. It must never touch a work item.
+// This file owns lag, the sample of it each period, and the flag. It must never touch a request.
 
 package policy
 
@@ -16,7 +16,7 @@
 }
 
 func (i *Instance) ratio(now time.Duration, it *item) float64 {
-	b := &i.bands[it.Band]
+	b := &i.classes[it.Class]
 	run := now - it.began - it.callTime
 	if it.state == atCall || it.state == calling {
 		run -= now - it.since
@@ -36,13 +36,13 @@
 		}
 		if it.state == held && now-it.arrived > period {
 			// Departure: the hold's order lets the rich start at once, and starts hide that the rest starves.
-			sum += 1 + (now-it.arrived).Seconds()/i.bands[it.Band].base
+			sum += 1 + (now-it.arrived).Seconds()/i.classes[it.Class].base
 			n++
 		}
 	}
 	i.lag, i.limit = max(sum/max(n, 1)-1, 0), -1
-	for k := range i.bands {
-		if b := &i.bands[k]; !b.free {
+	for k := range i.classes {
+		if b := &i.classes[k]; !b.free {
 			i.limit += duePart * b.due.Seconds() / b.base / float64(i.inUse)
 			b.base += (b.latency - b.base) * baseDrift
 		}
@@ -72,8 +72,8 @@
 	i.idleCores, i.full = 0, 0
 	if i.read > 0 {
 		learn(&i.repeats, float64(i.marked)/float64(i.read), 3)
-		learn(&i.turnedShare, float64(i.turned)/float64(max(i.read, i.turned)), 3)
+		learn(&i.rejectedShare, float64(i.rejected)/float64(max(i.read, i.rejected)), 3)
 	}
 	clear(i.from)
-	i.read, i.marked, i.turned, i.missed, i.done, i.waited = 0, 0, 0, 0, 0, 0
+	i.read, i.marked, i.rejected, i.missed, i.done, i.waited = 0, 0, 0, 0, 0, 0
 }
--- a/policy/order.go
+++ b/policy/order.go
@@ -8,19 +8,19 @@
 	"time"
 )
 
-// density is payoff over expected work; 0 for what can't be of use any more.
+// density is value over expected work; 0 for what can't be of use any more.
 func (i *Instance) density(now time.Duration, w int) float64 {
-	it, b := &i.items[w], &i.bands[i.items[w].Band]
-	payoff, run := b.payoff, b.latency // run: what it likely needs, and whole with its calls
+	it, b := &i.items[w], &i.classes[i.items[w].Class]
+	value, run := b.value, b.latency // run: what it likely needs, and whole with its calls
 	if it.Hint > 0 && b.perHint > 0 {
 		run = math.Sqrt(it.Hint.Seconds() * b.perHint * b.latency)
 	}
 	whole := run + max(b.span-b.latency, 0)
 	if it.Repeat {
-		payoff *= again
+		value *= again
 	}
 	if it.beyond {
-		payoff *= i.server.OverQuotaValue.Or(1)
+		value *= i.server.OverQuotaValue.Or(1)
 	}
 	if it.state == held {
 		// The less of its expected run fits before the due time, the less likely it is of use.
@@ -29,13 +29,13 @@
 		if (free || 2*i.onCores < i.cores) && it.use > now {
 			chance = max(chance, idleTry) // guesses mislead, and trying costs an idle server nothing
 		}
-		payoff *= chance
+		value *= chance
 	}
 	if !i.server.ValueByWork.On() {
-		payoff /= max(run, 1e-4)
+		value /= max(run, 1e-4)
 	}
-	// To the nearest power of two: a guess is no better, and nearly equal bands must not starve each other.
-	return math.Exp2(math.Round(math.Log2(max(payoff, 0))))
+	// To the nearest power of two: a guess is no better, and nearly equal classes must not starve each other.
+	return math.Exp2(math.Round(math.Log2(max(value, 0))))
 }
 
 func (i *Instance) byDensity(now time.Duration, newer int) func(a, b int) int {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -15,12 +15,12 @@
 	return New(b, 7, testkit.TypedSettings(change)), b
 }
 
-func of(band int) Work { return Work{Band: band, KB: 10, Forerunner: NoForerunner} }
+func of(class int) Request { return Request{Class: class, KB: 10, Forerunner: NoForerunner} }
 
-// busy fills the cores with work items from index at, and holds n more.
-func busy(i *Instance, band, n int) {
+// busy fills the cores with requests from index at, and holds n more.
+func busy(i *Instance, class, n int) {
 	for w := range 2 + n {
-		i.Arrived(0, w, of(band))
+		i.Arrived(0, w, of(class))
 	}
 	i.Settle(0)
 }
@@ -30,9 +30,9 @@
 	busy(i, 0, 0)
 	i.flag = true
 	i.Arrived(0, 5, of(0))
-	b.Wants(t, 0, "back 5")
+	b.Wants(t, 0, "reject 5")
 	i.Arrived(0, 6, of(0))
-	b.Wants(t, 1, "back 6")
+	b.Wants(t, 1, "reject 6")
 }
 
 func TestFlagSparesTheNewcomerThatIsWorthMore(t *testing.T) {
@@ -40,8 +40,8 @@
 	busy(i, 0, 1)
 	i.flag = true
 	i.Arrived(0, 5, of(2))
-	b.Wants(t, 1, "back 2")
-	b.Wants(t, 0, "back 5")
+	b.Wants(t, 1, "reject 2")
+	b.Wants(t, 0, "reject 5")
 }
 
 func TestFlagNeedsSeveralCrossings(t *testing.T) {
@@ -62,7 +62,7 @@
 func TestSampleCountsUnfinishedStarts(t *testing.T) {
 	i, _ := fresh(nil)
 	busy(i, 0, 0)
-	i.bands[0].base = 0.1
+	i.classes[0].base = 0.1
 	i.judge(400*ms, Gauges{Busy: -1})
 	if i.lag < 2.9 || i.lag > 3.1 {
 		t.Errorf("lag %v, want 3: two runs of 400 ms so far over 100", i.lag)
@@ -82,11 +82,11 @@
 	i, b := fresh(func(s *settings.Settings) { s.Server.Stop = settings.StopOff })
 	busy(i, 0, 1)
 	i.AtCall(10*ms, 1)
-	i.Arrived(10*ms, 3, Work{KB: 1, Forerunner: GoneForerunner, Band: 1})
+	i.Arrived(10*ms, 3, Request{KB: 1, Forerunner: GoneForerunner, Class: 1})
 	i.Tick(2990*ms, Gauges{Busy: -1})
 	b.Wants(t, 1, "scrap 0")
 	b.Wants(t, 1, "scrap 1")
-	b.Wants(t, 1, "back 2")
+	b.Wants(t, 1, "reject 2")
 	b.Wants(t, 1, "scrap 3")
 	i.Tick(3100*ms, Gauges{Busy: -1})
 	b.Wants(t, 1, "scrap 0")
@@ -94,12 +94,12 @@
 
 func TestWhatIsGivenUpIsAnsweredAtOnce(t *testing.T) {
 	i, b := fresh(nil)
-	i.bands[0].span, i.bands[0].latency = 0.5, 0.5
+	i.classes[0].span, i.classes[0].latency = 0.5, 0.5
 	busy(i, 0, 1) // of 1 s of due time and 3 s of patience; a run of 0.5 s fits in no more from 0.6 s on
 	i.Tick(500*ms, Gauges{Busy: -1})
-	b.Wants(t, 0, "back 2")
+	b.Wants(t, 0, "reject 2")
 	i.Tick(700*ms, Gauges{Busy: -1})
-	b.Wants(t, 1, "back 2")
+	b.Wants(t, 1, "reject 2")
 	if strings.Contains(strings.Join(b.Lines, "\n"), "after=0s") {
 		t.Errorf("no word when to come back: %q", b.Lines)
 	}
@@ -121,8 +121,8 @@
 	i, b := fresh(nil)
 	i.Arrived(0, 0, of(1))
 	i.Settle(0)
-	i.Arrived(0, 1, Work{Band: 1, KB: 10, Forerunner: 0})
-	i.Arrived(0, 2, Work{Band: 1, KB: 10, Forerunner: GoneForerunner})
+	i.Arrived(0, 1, Request{Class: 1, KB: 10, Forerunner: 0})
+	i.Arrived(0, 2, Request{Class: 1, KB: 10, Forerunner: GoneForerunner})
 	i.Settle(0)
 	b.Wants(t, 1, "join 1")
 	b.Wants(t, 1, "join 2")
@@ -136,8 +136,8 @@
 		i.Arrived(0, 0, of(1))
 		i.Settle(0)
 		i.Ended(0, 0, o, 0)
-		if b.Wants(t, gone, "forget 0"); len(i.receipts) != 1-gone {
-			t.Errorf("outcome %d leaves %d receipts", o, len(i.receipts))
+		if b.Wants(t, gone, "forget 0"); len(i.entries) != 1-gone {
+			t.Errorf("outcome %d leaves %d key entries", o, len(i.entries))
 		}
 		if seen := i.count[0] > 0; seen != (o != Moot) { // nor may it steer lag
 			t.Errorf("outcome %d counts in lag: %v", o, seen)
@@ -148,19 +148,19 @@
 func TestRepeatOfAHeldOneTakesItsPlace(t *testing.T) {
 	i, b := fresh(nil)
 	busy(i, 1, 1)
-	i.Arrived(0, 9, Work{Band: 1, KB: 10, Forerunner: 2})
-	b.Wants(t, 1, "back 2")
+	i.Arrived(0, 9, Request{Class: 1, KB: 10, Forerunner: 2})
+	b.Wants(t, 1, "reject 2")
 	b.Wants(t, 0, "forget 2")
 	b.Wants(t, 1, "record 9")
-	if len(i.receipts) != 3 {
-		t.Errorf("%d receipts, want 3", len(i.receipts))
+	if len(i.entries) != 3 {
+		t.Errorf("%d key entries, want 3", len(i.entries))
 	}
 }
 
 func TestNoRunWhereTheReceiptDoesNotFit(t *testing.T) {
 	i, b := fresh(func(s *settings.Settings) { s.Server.MemoryKB = settings.Of(30) })
 	i.Arrived(0, 0, of(1))
-	b.Wants(t, 1, "back 0")
+	b.Wants(t, 1, "reject 0")
 	b.Wants(t, 0, "record 0")
 }
 
@@ -172,7 +172,7 @@
 	i.Settle(0)
 	i.Returned(5*ms, 0, TimedOut, 5*ms)
 	b.Wants(t, 1, "scrap 0")
-	b.Wants(t, 0, "back 0")
+	b.Wants(t, 0, "reject 0")
 	i.Settle(5 * ms)
 	b.Wants(t, 1, "call 0")
 }
@@ -195,7 +195,7 @@
 	i.Arrived(1100*ms, 1, of(0))
 	i.Settle(1100 * ms)
 	b.Wants(t, 1, "start 0")
-	b.Wants(t, 1, "back 1")
+	b.Wants(t, 1, "reject 1")
 	b.Wants(t, 0, "start 1")
 }
 
@@ -206,7 +206,7 @@
 	i.Tick(420*ms, Gauges{Busy: -1})
 	b.Wants(t, 1, "scrap 0")
 	b.Wants(t, 1, "scrap 1")
-	b.Wants(t, 1, "back 2")
+	b.Wants(t, 1, "reject 2")
 }
 
 func TestColdCrowdIsSmaller(t *testing.T) {
@@ -346,12 +346,12 @@
 		s.Server.OverQuotaValue = settings.Of(0.05)
 	})
 	for range 8 { // what may come at once
-		i.customers[0].Beyond(0, 1)
+		i.tenants[0].Beyond(0, 1)
 	}
 	busy(i, 0, 0)
 	i.Arrived(0, 5, of(0))
 	other := of(0)
-	other.Customer = 1
+	other.Tenant = 1
 	i.Arrived(0, 6, other)
 	i.Ended(10*ms, 0, Failed, 10*ms)
 	i.Settle(10 * ms)
@@ -364,7 +364,7 @@
 	i.adjust()
 	i.say(0)
 	b.Wants(t, 1, "free 0.400")
-	i.turned, i.missed, i.read = 10, 10, 20
+	i.rejected, i.missed, i.read = 10, 10, 20
 	i.adjust()
 	i.say(0)
 	b.Wants(t, 1, "free 0.490")
@@ -377,13 +377,13 @@
 	i.Arrived(0, 1, of(5000))
 	i.Settle(0)
 	b.Wants(t, 1, "start 0")
-	b.Wants(t, 1, "back 1")
+	b.Wants(t, 1, "reject 1")
 }
 
 func TestStarvedHoldCountsInLag(t *testing.T) {
 	i, _ := fresh(nil)
 	busy(i, 0, 3)
-	i.bands[0].base = 0.1
+	i.classes[0].base = 0.1
 	i.items[0].began, i.items[1].began = -time.Hour, -time.Hour
 	i.judge(600*ms, Gauges{Busy: -1})
 	if i.lag < 5.9 || i.lag > 6.1 {
@@ -408,35 +408,35 @@
 	low.Rank, high.Rank = 0.2, 0.7
 	i.Arrived(0, 0, low)
 	i.Arrived(0, 1, high)
-	i.turnBack(0, 0, false)
-	i.turnBack(0, 1, false)
-	if i.turned != 2 || i.missed != 1 {
-		t.Errorf("%d turned back, %d missed, want 2 and 1", i.turned, i.missed)
+	i.reject(0, 0, false)
+	i.reject(0, 1, false)
+	if i.rejected != 2 || i.missed != 1 {
+		t.Errorf("%d rejected, %d missed, want 2 and 1", i.rejected, i.missed)
 	}
 }
 
 func TestNewcomerWorthMoreDisplacesWhereMemoryIsShort(t *testing.T) {
 	i, b := fresh(func(s *settings.Settings) { s.Server.MemoryKB = settings.Of(140) })
 	busy(i, 0, 4)
-	b.Wants(t, 0, "back")
+	b.Wants(t, 0, "reject")
 	i.Arrived(0, 9, of(2))
-	b.Wants(t, 1, "back 2")
-	b.Wants(t, 0, "back 9")
+	b.Wants(t, 1, "reject 2")
+	b.Wants(t, 0, "reject 9")
 }
 
 func TestCutOffRunsAreLearned(t *testing.T) {
 	i, _ := fresh(nil)
 	busy(i, 0, 0)
-	before := i.bands[0].latency
+	before := i.classes[0].latency
 	i.scrap(900*ms, 0)
-	if i.bands[0].latency <= before {
+	if i.classes[0].latency <= before {
 		t.Errorf("expected run still %v s", before)
 	}
 }
 
 func TestIdleServerTriesALongGuess(t *testing.T) {
 	i, b := fresh(nil)
-	i.bands[0].perHint = 1
+	i.classes[0].perHint = 1
 	long := of(0)
 	long.Hint = 20 * time.Second
 	i.Arrived(0, 0, long)
@@ -447,18 +447,18 @@
 	b.Wants(t, 1, "start 1") // on two cores half of them free would mean that nothing runs
 	i.Arrived(0, 2, long)
 	i.Tick(20*ms, Gauges{Busy: -1})
-	b.Wants(t, 1, "back 2")
+	b.Wants(t, 1, "reject 2")
 }
 
 func TestFreeCoreTriesALongGuessButNoLongRun(t *testing.T) {
-	for hint, words := range map[time.Duration]string{20 * time.Second: "start 1", 0: "back 1"} {
+	for hint, words := range map[time.Duration]string{20 * time.Second: "start 1", 0: "reject 1"} {
 		i, b := fresh(nil)
-		i.bands[0].perHint = 1
-		i.bands[1].span, i.bands[1].latency = 5, 5 // by its recent runs and calls it can't end in time
+		i.classes[0].perHint = 1
+		i.classes[1].span, i.classes[1].latency = 5, 5 // by its recent runs and calls it can't end in time
 		busy(i, 0, -1)
 		work := of(0)
 		if work.Hint = hint; hint == 0 {
-			work.Band = 1
+			work.Class = 1
 		}
 		i.Arrived(0, 1, work)
 		i.Settle(0)
@@ -468,7 +468,7 @@
 
 func TestRoughHintCountsHalfWay(t *testing.T) {
 	i, _ := fresh(func(s *settings.Settings) { s.Server.ValueByWork = settings.False })
-	i.bands[0].perHint, i.bands[0].latency, i.bands[0].span = 1, 0.1, 0.1
+	i.classes[0].perHint, i.classes[0].latency, i.classes[0].span = 1, 0.1, 0.1
 	long := of(0)
 	long.Hint = 1600 * ms // 16 times the mean run: taken for four times
 	i.Arrived(0, 0, long)
@@ -519,7 +519,7 @@
 	i.Tick(20*ms, Gauges{Busy: -1})
 	judged(i, 1, 0)
 	judged(i, 1, 0)
-	learnt := i.bands[1]
+	learnt := i.classes[1]
 	later := testkit.TypedSettings(func(s *settings.Settings) {
 		s.Server.RunMemory, s.Server.KeyEntryKB = settings.Of(8), settings.Of(30)
 		s.Server.Advertise, s.Server.Calls = settings.AdvertiseShare, settings.Of(0.5)
@@ -530,10 +530,10 @@
 	for n, class := range later.Classes {
 		i.SetClass(n, class)
 	}
-	if i.memory != 8*10+10+30 || i.callShare != 0.5 || len(i.bands) != 4 || !i.bands[3].keyed {
-		t.Errorf("memory %v, share %v, %d bands", i.memory, i.callShare, len(i.bands))
+	if i.memory != 8*10+10+30 || i.callShare != 0.5 || len(i.classes) != 4 || !i.classes[3].keyed {
+		t.Errorf("memory %v, share %v, %d classes", i.memory, i.callShare, len(i.classes))
 	}
-	if now := i.bands[1]; now.payoff != 7 || now.base != learnt.base || !now.keyed {
+	if now := i.classes[1]; now.value != 7 || now.base != learnt.base || !now.keyed {
 		t.Errorf("%+v, was %+v", now, learnt)
 	}
 	judged(i, 1, 0) // where the list does not follow it is fit again
@@ -546,8 +546,8 @@
 	i.Ended(90*ms, 1, OK, 40*ms)
 	i.Tick(11*time.Second, Gauges{Busy: -1})
 	i.SetServer(here)
-	if i.memory != 0 || len(i.receipts) != 0 {
-		t.Errorf("memory %v, %d receipts left", i.memory, len(i.receipts))
+	if i.memory != 0 || len(i.entries) != 0 {
+		t.Errorf("memory %v, %d key entries left", i.memory, len(i.entries))
 	}
 }
 
@@ -575,8 +575,8 @@
 
 func TestNearlyEqualBandsAreEqual(t *testing.T) {
 	i, _ := fresh(nil)
-	i.bands[0].latency, i.bands[1].latency = 0.25, 0.26
-	i.bands[1].payoff = 1
+	i.classes[0].latency, i.classes[1].latency = 0.25, 0.26
+	i.classes[1].value = 1
 	i.Arrived(0, 0, of(0))
 	i.Arrived(0, 1, of(1))
 	if a, b := i.density(0, 0), i.density(0, 1); a != b {
@@ -694,7 +694,7 @@
 	i, b := fresh(nil)
 	i.unread = 10
 	i.Arrived(0, 0, of(0))
-	b.Wants(t, 1, "back 0")
+	b.Wants(t, 1, "reject 0")
 }
 
 func TestCallsTurnedAwayAtOnceAreNoFastCalls(t *testing.T) {
@@ -714,15 +714,15 @@
 	i := New(b, 0, settings.Settings{})
 	i.Tick(sweepGap, Gauges{Busy: -1})
 	i.Arrived(sweepGap, 0, of(0))
-	b.Wants(t, 0, "back 0")
+	b.Wants(t, 0, "reject 0")
 }
 
 func TestRepeatsDoNotFillTheMemory(t *testing.T) {
 	i, b := fresh(nil)
 	i.memory = 949
-	i.Arrived(0, 0, Work{Band: 1, KB: 10, Forerunner: GoneForerunner})
+	i.Arrived(0, 0, Request{Class: 1, KB: 10, Forerunner: GoneForerunner})
 	b.Wants(t, 0, "join 0")
-	b.Wants(t, 0, "back 0")
+	b.Wants(t, 0, "reject 0")
 	b.Wants(t, 1, "scrap 0")
 }
 
@@ -808,7 +808,7 @@
 		}
 		answers := 0
 		for _, l := range b.Lines {
-			if strings.HasPrefix(l, "back 0 ") || l == "scrap 0" {
+			if strings.HasPrefix(l, "reject 0 ") || l == "scrap 0" {
 				answers++
 			}
 		}
@@ -821,7 +821,7 @@
 // A call that had less time than calls take tells nothing of what lies below: such trials kept calls stopped for ever.
 func TestCallCutShortIsNoFailureNorTrial(t *testing.T) {
 	i, b := fresh(func(s *settings.Settings) { s.Server.Calls = settings.Of(9); s.Server.Crowd = settings.Of(20) })
-	i.width, i.callTook, i.bands[0].base = 9, 0.2, 0.1
+	i.width, i.callTook, i.classes[0].base = 9, 0.2, 0.1
 	busy(i, 0, 1)
 	for w := range 3 {
 		i.AtCall(time.Duration(w)*ms, w)
--- a/policy/receipts.go
+++ b/policy/receipts.go
@@ -1,4 +1,4 @@
-// This file owns the receipts, which stand before a run. It must never drop the receipt of what ran.
+// This file owns the key entries, which stand before a run. It must never drop the key entry of what ran.
 
 package policy
 
@@ -7,31 +7,31 @@
 	"time"
 )
 
-// record enters a receipt before the run, so that a repeat of a held one is known too.
+// record enters a key entry before the run, so that a repeat of a held one is known too.
 func (i *Instance) record(now time.Duration, it *item, w int) {
-	b := &i.bands[it.Band]
+	b := &i.classes[it.Class]
 	life := it.arrived + b.window + 2*margin - now
-	if i.receiptKB(it) == 0 || life <= 0 {
+	if i.entryKB(it) == 0 || life <= 0 {
 		return
 	}
-	i.dropReceipt(it)
-	it.receiptEnds = now + life
-	i.receipts = append(i.receipts, it.receiptEnds)
+	i.dropEntry(it)
+	it.entryEnds = now + life
+	i.entries = append(i.entries, it.entryEnds)
 	i.memory += i.server.KeyEntryKB.Or(0)
 	i.host.Record(w, life)
 }
 
-func (i *Instance) receiptKB(it *item) float64 {
-	if i.bands[it.Band].keyed {
+func (i *Instance) entryKB(it *item) float64 {
+	if i.classes[it.Class].keyed {
 		return max(i.server.KeyEntryKB.Or(0), 0.001)
 	}
 	return 0
 }
 
-func (i *Instance) dropReceipt(it *item) {
-	if it.receiptEnds != 0 && slices.Contains(i.receipts, it.receiptEnds) {
-		i.receipts = without(i.receipts, it.receiptEnds)
+func (i *Instance) dropEntry(it *item) {
+	if it.entryEnds != 0 && slices.Contains(i.entries, it.entryEnds) {
+		i.entries = without(i.entries, it.entryEnds)
 		i.memory -= i.server.KeyEntryKB.Or(0)
 	}
-	it.receiptEnds = 0
+	it.entryEnds = 0
 }
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -9,10 +9,10 @@
 	"thymechute/policy/share"
 )
 
-// SetServer puts later figures in force. Due times and receipts stay as they were; memory is counted anew.
+// SetServer puts later figures in force. Due times and key entries stay as they were; memory is counted anew.
 func (i *Instance) SetServer(s settings.Server) {
 	i.takeServer(s)
-	i.memory = float64(len(i.receipts)) * s.KeyEntryKB.Or(0)
+	i.memory = float64(len(i.entries)) * s.KeyEntryKB.Or(0)
 	for w := range i.items {
 		if it := &i.items[w]; it.state != absent {
 			i.memory += it.KB
@@ -38,12 +38,12 @@
 
 // SetClass gives the class of an index (in use, free or the next) its figures. What was learned of it stays.
 func (i *Instance) SetClass(n int, c settings.Class) {
-	if n == len(i.bands) {
-		i.bands = append(i.bands, band{free: true})
+	if n == len(i.classes) {
+		i.classes = append(i.classes, class{free: true})
 	}
-	b := &i.bands[n]
+	b := &i.classes[n]
 	b.safe, b.keyed, b.calls = c.Kind == settings.Safe, c.Kind == settings.Keyed, c.Calls.On()
-	b.payoff, b.poorer = c.Value.Or(1), c.DegradedValue.Or(0)
+	b.value, b.poorer = c.Value.Or(1), c.DegradedValue.Or(0)
 	b.due, b.patience, b.window = c.Deadline.Seconds(1), c.CallerTimeout.Seconds(2), c.KeyWindow.Seconds(10)
 	if b.free {
 		first := max(b.due.Seconds()/4, 1e-3) // until some have ended
@@ -56,21 +56,21 @@
 
 // FreeClass frees an index of which nothing is in hand any more.
 func (i *Instance) FreeClass(n int) {
-	i.bands[n].free = true
-	for i.inUse--; i.inUse > 0 && i.bands[i.lowest].free; i.lowest++ {
+	i.classes[n].free = true
+	for i.inUse--; i.inUse > 0 && i.classes[i.lowest].free; i.lowest++ {
 	}
 }
 
-// firstBand is the measure for the server as a whole.
-func (i *Instance) firstBand() *band { return &i.bands[i.lowest] }
+// firstClass is the measure for the server as a whole.
+func (i *Instance) firstClass() *class { return &i.classes[i.lowest] }
 
 // SetTenant gives the tenant of an index its quota, and leaves its bucket as full as it is.
 func (i *Instance) SetTenant(n int, t settings.Tenant) {
-	if n == len(i.customers) {
-		i.customers = append(i.customers, share.New())
+	if n == len(i.tenants) {
+		i.tenants = append(i.tenants, share.New())
 	}
-	i.customers[n].Quota = t.Quota.Or(0)
+	i.tenants[n].Quota = t.Quota.Or(0)
 }
 
 // FreeTenant frees an index of which nothing is in hand any more.
-func (i *Instance) FreeTenant(n int) { i.customers[n] = share.New() }
+func (i *Instance) FreeTenant(n int) { i.tenants[n] = share.New() }
--- a/policy/settings_test.go
+++ b/policy/settings_test.go
@@ -18,7 +18,7 @@
 		beyond := 0
 		for w := range 10 { // eight may come at once
 			work := of(0)
-			work.Customer = last
+			work.Tenant = last
 			i.Arrived(0, w, work)
 			if i.items[w].beyond {
 				beyond++
@@ -32,15 +32,15 @@
 
 func TestAFreedIndexKeepsNothingOfItsTenant(t *testing.T) {
 	i, _ := fresh(func(s *settings.Settings) { s.Tenants = []settings.Tenant{{Quota: settings.Of(0.001)}} })
-	for i.customers[0].Beyond(0, 1) == false {
+	for i.tenants[0].Beyond(0, 1) == false {
 	}
 	i.SetTenant(0, settings.Tenant{Quota: settings.Of(0.002)})
-	if !i.customers[0].Beyond(0, 1) {
+	if !i.tenants[0].Beyond(0, 1) {
 		t.Error("a changed quota filled the bucket")
 	}
 	i.FreeTenant(0)
 	i.SetTenant(0, settings.Tenant{Quota: settings.Of(0.001)})
-	if i.customers[0].Beyond(0, 1) {
+	if i.tenants[0].Beyond(0, 1) {
 		t.Error("the next tenant found the bucket empty")
 	}
 }
@@ -48,8 +48,8 @@
 func TestAFreedIndexKeepsNothingOfItsClass(t *testing.T) {
 	i, _ := fresh(nil)
 	class := settings.Class{Kind: settings.Safe, Deadline: settings.Of(1), Value: settings.Of(3)}
-	untouched := i.bands[0]
-	b := &i.bands[0]
+	untouched := i.classes[0]
+	b := &i.classes[0]
 	b.latency, b.base, b.span, b.perHint, b.ended = 7, 6, 5, 4, 3
 	i.SetClass(0, settings.Class{Kind: settings.Safe, Deadline: settings.Of(2)})
 	if b.latency != 7 || b.base != 6 || b.span != 5 || b.perHint != 4 || b.ended != 3 {
@@ -57,7 +57,7 @@
 	}
 	i.FreeClass(0)
 	i.SetClass(0, class)
-	if b.latency != untouched.latency || b.base != untouched.base || b.span != untouched.span || b.perHint != 0 || b.ended != 0 || b.payoff != 3 {
+	if b.latency != untouched.latency || b.base != untouched.base || b.span != untouched.span || b.perHint != 0 || b.ended != 0 || b.value != 3 {
 		t.Errorf("%+v, want as new", b)
 	}
 }
@@ -70,8 +70,8 @@
 		}
 	})
 	limit := func() float64 {
-		for n := range i.bands {
-			i.bands[n].base = 0.1
+		for n := range i.classes {
+			i.classes[n].base = 0.1
 		}
 		i.judge(period, Gauges{Busy: -1})
 		return i.limit
@@ -88,8 +88,8 @@
 		{func() { i.SetClass(1, settings.Class{Deadline: settings.Of(3)}) }, 3, 0.4*30 - 1},
 	} {
 		step.what()
-		if got := limit(); got < step.limit-1e-6 || got > step.limit+1e-6 || i.firstBand().due != time.Duration(step.first*1e9) {
-			t.Errorf("limit %v, want %v; measure %v, want %v s", got, step.limit, i.firstBand().due, step.first)
+		if got := limit(); got < step.limit-1e-6 || got > step.limit+1e-6 || i.firstClass().due != time.Duration(step.first*1e9) {
+			t.Errorf("limit %v, want %v; measure %v, want %v s", got, step.limit, i.firstClass().due, step.first)
 		}
 	}
 }
--- a/policy/share/share.go
+++ b/policy/share/share.go
@@ -1,4 +1,4 @@
-// Package share owns what one customer may send to one server within its part of the fleet: a bucket of items
+// Package share owns what one tenant may send to one server within its part of the fleet: a bucket of items
 // that fills at the told rate. It must never turn an item away: whoever asks decides what beyond means.
 package share
 
@@ -6,7 +6,7 @@
 
 const slack = 8.0 // items that may come at once, where two seconds' share is less
 
-// Bucket is of one customer; Quota is items a second to the whole fleet, of which 0 sets no bound.
+// Bucket is of one tenant; Quota is items a second to the whole fleet, of which 0 sets no bound.
 type Bucket struct{ Quota, tokens, seen float64 }
 
 // New is a full bucket.
