--- a/policy/cores.go
+++ b/policy/cores.go
@@ -4,6 +4,9 @@
 
 import "time"
 
+// runKB is what a start takes besides what is held already.
+func (i *Instance) runKB(heldKB float64) float64 { return heldKB * (i.server.RunMemory.Or(1) - 1) }
+
 func (i *Instance) fits(kb float64) bool { return i.memory+kb <= fill*i.ram }
 
 // room is how many more may start now. The survived crowd is the ceiling, with those at calls
@@ -14,11 +17,11 @@
 
 func (i *Instance) ceiling(now time.Duration) int {
 	warm := 1.0
-	if span := i.span("warm_s", 0); i.told["cold"] == true && now < span {
-		from := min(i.num("cold_from", 0.2), 1)
+	if span := i.server.WarmAfter.Seconds(0); i.server.Cold.On() && now < span {
+		from := min(i.server.ColdCrowd.Or(0.2), 1)
 		warm = from + (1-from)*now.Seconds()/span.Seconds()
 	}
-	return max(int((1+max(i.num("crowd", 2)-1, 0)*warm)*float64(i.cores)*crowdPart), 1)
+	return max(int((1+max(i.server.Crowd.Or(2)-1, 0)*warm)*float64(i.cores)*crowdPart), 1)
 }
 
 func (i *Instance) waiting() int { return len(i.held) - max(int(i.width)-i.onCores, 0) }
@@ -35,11 +38,11 @@
 			w := i.held[n]
 			d := i.density(now, w)
 			if d <= 0 {
-				i.turnBack(now, w, true)
+				i.reject(now, w, true)
 				continue
 			}
-			it, b := &i.items[w], &i.bands[i.items[w].Band]
-			if stopped && b.calls && b.poorer == 0 || !i.fits(it.KB*(i.num("run_memory", 1)-1)) {
+			it, b := &i.items[w], &i.classes[i.items[w].Class]
+			if stopped && b.calls && b.poorer == 0 || !i.fits(i.runKB(it.KB)) {
 				continue
 			}
 			if d > most || d == most && it.use <= i.items[best].use {
@@ -51,7 +54,7 @@
 		}
 		it := &i.items[best]
 		i.held = without(i.held, best)
-		i.memory += it.KB * (i.num("run_memory", 1) - 1)
+		i.memory += i.runKB(it.KB)
 		it.state, it.ran, it.began, it.wait = running, true, now, now-it.arrived
 		i.onCores++
 		i.host.Start(best)
@@ -73,7 +76,7 @@
 		i.sample(now, it)
 		if o == OK {
 			i.done++
-			b, run := &i.bands[it.Band], max((took-it.callTime).Seconds(), 1e-4)
+			b, run := &i.classes[it.Class], max((took-it.callTime).Seconds(), 1e-4)
 			learn(&b.latency, run, b.ended+3)
 			learn(&b.span, took.Seconds(), b.ended+3)
 			if it.Hint > 0 {
@@ -87,6 +90,6 @@
 			i.host.Scrap(w)
 		}
 	}
-	it.ran = it.ran && o != Moot // a receipt of what was never started must not stand in a later try's way
+	it.ran = it.ran && o != Moot // a key entry of what was never started must not stand in a later try's way
 	i.drop(w)
 }
