--- a/policy/settings/settings.go
+++ b/policy/settings/settings.go
@@ -11,7 +11,7 @@
 
 // Bounds of a deployment. A file beyond one is refused by name, at the start and while running.
 const (
-	MaxClasses  = 1000    // classes in force at one time
+	MaxClasses  = 20_000  // classes in force at one time; 9,800 routes are planned for (docs/CAPACITY.md)
 	MaxTenants  = 100_000 // tenants in force at one time; 60,000 are planned for
 	MaxName     = 200     // bytes of a class's or a tenant's name
 	maxDuration = 1e9     // seconds; longer ones are cut to it, so that they fit a time.Duration
