--- a/internal/decide/configuration/configuration_test.go
+++ b/internal/decide/configuration/configuration_test.go
@@ -94,13 +94,14 @@
 		command configuration.Command
 		why     configuration.Reason
 	}{
-		"older token":           {command(t, v1, version(2, 2), "a", "2"), configuration.Stale},
-		"same once more":        {command(t, v0, v1, "a", "1"), configuration.Stale},
-		"older version":         {command(t, v0, version(3, 0), "a", "2"), configuration.Stale},
-		"on another version":    {command(t, version(3, 5), version(3, 6), "a", "2"), configuration.WrongBase},
-		"a counter left out":    {command(t, v1, version(3, 3), "a", "2"), configuration.WrongBase},
-		"newer token, old base": {command(t, v0, version(4, 1), "a", "2"), configuration.WrongBase},
-		"nothing":               {command(t, v1, version(3, 2)), configuration.Missing},
+		"older token":                {command(t, v1, version(2, 2), "a", "2"), configuration.Stale},
+		"same once more":             {command(t, v0, v1, "a", "1"), configuration.Stale},
+		"older version":              {command(t, v0, version(3, 0), "a", "2"), configuration.Stale},
+		"on another version":         {command(t, version(3, 5), version(3, 6), "a", "2"), configuration.WrongBase},
+		"a counter left out":         {command(t, v1, version(3, 3), "a", "2"), configuration.WrongBase},
+		"another base, next version": {command(t, v0, version(3, 2), "a", "2"), configuration.WrongBase},
+		"newer token, old base":      {command(t, v0, version(4, 1), "a", "2"), configuration.WrongBase},
+		"nothing":                    {command(t, v1, version(3, 2)), configuration.Missing},
 		"resources of another version": {configuration.Command{Base: v1, Version: version(3, 2),
 			Changes: puts(t, v1, "a", "2")}, configuration.Malformed},
 		"removes what isn't there": {configuration.Command{Base: v1, Version: version(3, 2),
--- a/internal/decide/configuration/member_test.go
+++ b/internal/decide/configuration/member_test.go
@@ -67,6 +67,12 @@
 		t.Errorf("version %v after %v", m.State().Version(), o.force)
 	}
 	wantRefusal(t, m.Received(time.Second, "nobody", d2), configuration.Stranger)
+	older := s0.Version() // what a way back is not: an older version, though all else fits
+	back := configuration.Delta{At: configuration.At{Version: older, Root: s0.Root()}, From: s2.Version(),
+		Changes: []configuration.Change{{Resource: resource(t, "a", "", older), Removed: true}}}
+	if err := m.Received(time.Second, "relay", back); err != nil || m.State().Root() != s2.Root() {
+		t.Errorf("%v, version %v", err, m.State().Version())
+	}
 }
 
 func TestMemberLeavesASilentSourceAndComesBack(t *testing.T) {
@@ -341,14 +347,19 @@
 		t.Fatalf("asks %s", m.Source())
 	}
 	answer(3*time.Second, time.Second)
-	m.Place(4*time.Second, configuration.Sources{Near: []string{"c0", "c1", "c2"}}) // the zone's tree is made anew
-	if m.Source() != "c1" {
-		t.Errorf("went back to %s", m.Source())
+	for now := 4 * time.Second; now < 60*time.Second; now += time.Second {
+		m.Tick(now)
+		answer(now, time.Second)
+		m.Place(now, configuration.Sources{Near: []string{"c0", "c1", "c2"}}) // the zone's tree is made anew
+		if m.Source() != "c1" {
+			t.Fatalf("went back to %s at %v", m.Source(), now)
+		}
 	}
-	answer(5*time.Second, 5*time.Second)
-	answer(5*time.Second, 5*time.Second)
+	answer(61*time.Second, 5*time.Second)
+	answer(61*time.Second, 5*time.Second)
+	answer(61*time.Second, 5*time.Second)
 	last := m.Source()
-	for now := 6 * time.Second; now < 10*time.Second; now += 100 * time.Millisecond {
+	for now := 62 * time.Second; now < 66*time.Second; now += 100 * time.Millisecond {
 		answer(now, 5*time.Second) // all are old: going round helps nobody
 		if m.Source() != last {
 			t.Fatalf("goes round: %s", m.Source())
--- a/internal/decide/configuration/wire_test.go
+++ b/internal/decide/configuration/wire_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"reflect"
+	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -132,6 +134,26 @@
 	wantRefusal(t, err, configuration.OverBound)
 }
 
+// A count that the bytes can't hold makes nothing of its size.
+func TestDecodeMakesNothingLargerThanItsBytesAllow(t *testing.T) {
+	at := []byte{1, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0}
+	count := []byte{0xff, 0xff, 0x3f} // 2^20 - 1
+	for name, body := range map[string][]byte{
+		"changes": slices.Concat([]byte{3}, at, []byte{1, 0}, count),
+		"groups":  slices.Concat([]byte{5}, at, count),
+		"digests": slices.Concat([]byte{6, 1, 0}, count),
+	} {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, err := configuration.Decode(configuration.Seal(body))
+		runtime.ReadMemStats(&after)
+		wantRefusal(t, err, configuration.Malformed)
+		if made := after.TotalAlloc - before.TotalAlloc; made > 1<<20 {
+			t.Errorf("%s: %d bytes made of %d", name, made, len(body))
+		}
+	}
+}
+
 func TestCommandsComeBackFromTheirBytes(t *testing.T) {
 	v := version(4, 2)
 	c := command(t, version(3, 1), v, "a", "1", "b", "2")
