--- a/internal/decide/configuration/member_test.go
+++ b/internal/decide/configuration/member_test.go
@@ -366,3 +366,26 @@
 		}
 	}
 }
+
+// BenchmarkDelta is one change of one tenant in 69,800 resources, taken into force.
+func BenchmarkDelta(b *testing.B) {
+	const changes = 2000
+	first := tenants(b, 69800)
+	last := first
+	deltas := make([]configuration.Delta, changes)
+	for n := range deltas {
+		deltas[n], last = deltaTo(b, last, fmt.Sprintf("tenant-%05d", n*31%60000), "changed")
+	}
+	var m *configuration.Member
+	b.ReportAllocs()
+	n := 0
+	for b.Loop() {
+		if n%changes == 0 {
+			m, _ = memberOf(first)
+		}
+		if err := m.Received(0, "relay", deltas[n%changes]); err != nil {
+			b.Fatal(err)
+		}
+		n++
+	}
+}
