--- a/cmd/thymelab/configuration.go
+++ b/cmd/thymelab/configuration.go
@@ -4,38 +4,37 @@
 package main
 
 import (
+	"fmt"
 	"maps"
 	"slices"
+	"syscall"
 
 	"github.com/spf13/cobra"
-	"golang.org/x/sys/unix"
 
 	"thymechute/internal/lab"
 	"thymechute/internal/lab/emu"
 )
 
+const leastOfAZone = 6 // members, on the mean
+
 // runConfiguration plays a day's changes and failures, compressed, and holds the decisions to their claim.
 func runConfiguration() *cobra.Command {
+	var zones int
 	c := experiment("configuration", "A day's changes of configuration through the plan's failures, in the emulator",
-		sizes{usual: 1200, least: 24, most: 3000, unit: "members, in 40 zones of 4 regions from 400 on"}, func(t trial) (*lab.Report, error) {
+		sizes{usual: 1200, least: 24, most: 3000, unit: "members, in 4 regions"}, func(t trial) (*lab.Report, error) {
 			day := emu.NewConfigurationDay(t.size)
+			if most := t.size / leastOfAZone; zones != 0 && (zones < day.Regions || zones > most) {
+				return nil, usageError{fmt.Errorf("--zones: found %d, expected %d to %d", zones, day.Regions, most)}
+			}
+			if zones != 0 {
+				day.Zones = zones
+			}
 			before := processorSeconds()
 			f := emu.Configuration(day, t.seed)
 			spent := processorSeconds() - before
-			figures := f.ByName()
-			figures["cpu_s_emulation"] = spent
-			figures["emulated_s"] = day.Span.Seconds()
-			state, history := emu.ConfigurationMemory(day)
-			figures["state_bytes_member"], figures["history_bytes_member"] = float64(state), float64(history)
-			r := &lab.Report{}
-			for _, name := range slices.Sorted(maps.Keys(figures)) {
-				r.Put(name, figures[name])
-			}
-			if fault := f.Fault(); fault != nil {
-				r.Fault("%v", fault)
-			}
-			return r, nil
+			return configurationReport(day, f, spent), nil
 		})
+	c.Flags().IntVar(&zones, "zones", 0, "zones of all regions together; 0: 40, fewer under 400 members")
 	c.Long = `A day's changes, restarts and deaths, compressed into two hours (12 minutes under 400 members), with the plan's
 failures: a rack, a zone and regions lost or cut, the owner paused and woken, relays killed as they send, a relay that
 lies, a release, half of all restarted at once. Decisions, message bytes and chance are emulated; delays, leases and
@@ -45,10 +44,27 @@
 	return c
 }
 
+func configurationReport(day emu.ConfigurationDay, f emu.ConfigurationFigures, spent float64) *lab.Report {
+	r := &lab.Report{}
+	figures := f.ByName()
+	for _, name := range slices.Sorted(maps.Keys(figures)) {
+		r.Put(name, figures[name])
+	}
+	r.Put("emulated_s", day.Span.Seconds())
+	r.Put("cpu_s_emulation", spent)
+	state, history := emu.ConfigurationMemory(day)
+	r.Put("state_bytes_member", float64(state))
+	r.Put("history_bytes_member", float64(history))
+	for _, fault := range f.Faults() {
+		r.Fault("%v", fault)
+	}
+	return r
+}
+
 // processorSeconds is what this process has spent, in user and system.
 func processorSeconds() float64 {
-	var u unix.Rusage
-	if err := unix.Getrusage(unix.RUSAGE_SELF, &u); err != nil {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
 		return 0
 	}
 	return float64(u.Utime.Nano()+u.Stime.Nano()) / 1e9
--- a/internal/decide/configuration/emulated_test.go
+++ b/internal/decide/configuration/emulated_test.go
@@ -1,6 +1,7 @@
 package configuration_test
 
 import (
+	"errors"
 	"testing"
 
 	"thymechute/internal/decide/configuration"
@@ -10,7 +11,7 @@
 func TestEmulatedDayThroughFaults(t *testing.T) {
 	for seed := uint64(1); seed <= 5; seed++ {
 		f := emu.Configuration(emu.NewConfigurationDay(48), seed)
-		if err := f.Fault(); err != nil {
+		if err := errors.Join(f.Faults()...); err != nil {
 			t.Errorf("seed %d: %v\n%+v", seed, err, f)
 		}
 		if again := emu.Configuration(emu.NewConfigurationDay(48), seed); again != f {
@@ -34,7 +35,7 @@
 				for seed := uint64(1); seed <= 3; seed++ {
 					f := emu.Configuration(emu.NewConfigurationDay(48), seed)
 					seen += c.seen(f)
-					if c.seen(f) > 0 && f.Fault() == nil {
+					if c.seen(f) > 0 && len(f.Faults()) == 0 {
 						t.Error("seen, but the run's claim holds")
 					}
 				}
--- a/internal/lab/emu/configuration_claim.go
+++ b/internal/lab/emu/configuration_claim.go
@@ -3,7 +3,6 @@
 package emu
 
 import (
-	"errors"
 	"fmt"
 	"runtime"
 	"time"
@@ -18,12 +17,11 @@
 	mostPeers       = 99   // of a control machine: tens
 )
 
-// Fault is what doesn't hold of the figures, nil where all does.
-func (f ConfigurationFigures) Fault() error {
-	var faults []error
+// Faults are what doesn't hold of the figures, none where all does.
+func (f ConfigurationFigures) Faults() (faults []error) {
 	zero := func(name string, n int) {
 		if n != 0 {
-			faults = append(faults, fmt.Errorf("configuration: %s is %d, expected 0", name, n))
+			faults = append(faults, fmt.Errorf("%s is %d, expected 0", name, n))
 		}
 	}
 	zero("half_applied", f.HalfApplied)
@@ -34,7 +32,7 @@
 	zero("age_understated", f.AgeWrong)
 	some := func(name string, n int) {
 		if n == 0 {
-			faults = append(faults, fmt.Errorf("configuration: %s is 0, expected some", name))
+			faults = append(faults, fmt.Errorf("%s is 0, expected some", name))
 		}
 	}
 	some("stale_tried", f.StaleTried)
@@ -43,14 +41,14 @@
 	some("relays_killed", f.RelaysKilled)
 	most := func(name string, n, bound float64) {
 		if n > bound {
-			faults = append(faults, fmt.Errorf("configuration: %s is %.0f, expected %.0f at most", name, n, bound))
+			faults = append(faults, fmt.Errorf("%s is %.0f, expected %.0f at most", name, n, bound))
 		}
 	}
 	most("in_force_ms_p99", float64(f.InForceP99.Milliseconds()), float64(mostInForce.Milliseconds()))
 	most("heal_ms_max", float64(f.HealMax.Milliseconds()), float64(mostInForce.Milliseconds()))
 	most("bytes_s_member_max", f.MemberBytes, mostMemberBytes)
 	most("control_machine_peers_max", float64(f.ControlPeers), mostPeers)
-	return errors.Join(faults...)
+	return faults
 }
 
 // ByName are the figures, units in their names.
