--- a/internal/lab/emu/configuration.go
+++ b/internal/lab/emu/configuration.go
@@ -90,7 +90,6 @@
 	names    []string // of the control machines
 	tenants  int      // named so far
 	waiting  []configurationChange
-	submits  int
 	killNext int // relays to be killed as they send
 	scratch  []byte
 	relays   []bool // by process: has had children
