Scale, members: one full exchange measured, and its rate from the pace of the size

A run at 32 to 256 members ended in agreement in every phase and then could not be printed: at 256 no exchange fell into the window of 20 s, as members that started together wait together at first, so that the fit's error was infinite, which JSON has not. Now some exchanges are begun and counted, the rate is theirs by the pace; the error of a fit with nothing measured is a number; each outcome is printed as measured before anything is fitted.

--- a/internal/fleet/member/exchange.go
+++ b/internal/fleet/member/exchange.go
@@ -48,21 +48,28 @@
 func (m *Member) exchange(sync time.Duration, seeds []string) {
 	step := sync
 	for turn := 0; ; turn++ {
-		regular := exchangeEvery(sync, m.list.NumMembers())
+		regular := ExchangeEvery(sync, m.list.NumMembers())
 		select {
 		case <-m.stop:
 			return
 		case <-time.After(jitter(min(step, regular))):
 		}
-		if address := m.peer(seeds, turn); address != "" {
-			_, _ = m.list.Join([]string{address}) // not reached: the next exchange is with another
-		}
+		m.exchangeOnce(seeds, turn)
 		if step < regular {
 			step *= exchangeGrowth
 		}
 	}
 }
 
+func (m *Member) exchangeOnce(seeds []string, turn int) {
+	if address := m.peer(seeds, turn); address != "" {
+		_, _ = m.list.Join([]string{address}) // not reached: the next exchange is with another
+	}
+}
+
+// Exchange begins one full exchange with a member by chance, beside those that it begins by itself, and waits for its end.
+func (m *Member) Exchange() { m.exchangeOnce(nil, 0) }
+
 // peer chooses whom to exchange with, "" for nobody: a member by chance, and every other time a seed that is not in the view
 // if there is one, so that two groups that grew from different seeds become one.
 func (m *Member) peer(seeds []string, turn int) string {
--- a/internal/fleet/member/pace.go
+++ b/internal/fleet/member/pace.go
@@ -31,8 +31,8 @@
 	leastLoadChange     = time.Second
 )
 
-// exchangeEvery is the mean time between two full exchanges that a member begins.
-func exchangeEvery(sync time.Duration, members int) time.Duration {
+// ExchangeEvery is the mean time between two full exchanges that a member begins, some time after its start.
+func ExchangeEvery(sync time.Duration, members int) time.Duration {
 	return sync + time.Duration(max(members-paceFrom, 0))*exchangePerMember
 }
 
--- a/internal/lab/scale/fit_test.go
+++ b/internal/lab/scale/fit_test.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"io"
 	"math"
 	"testing"
 
@@ -68,3 +69,13 @@
 		t.Errorf("%+v, %v", fit, err)
 	}
 }
+
+func TestFitOfNothingMeasuredAtTheLargestCanBePrinted(t *testing.T) {
+	result := &Result{}
+	if err := result.Add(Series{Points: []Point{{1, 1}, {2, 2}, {3, 3}, {4, 0}}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := result.JSON(io.Discard); err != nil || result.Series[0].Fit.Error < 1 {
+		t.Errorf("%v, error %v", err, result.Series[0].Fit.Error)
+	}
+}
--- a/internal/lab/scale/members/child.go
+++ b/internal/lab/scale/members/child.go
@@ -65,6 +65,7 @@
 	if writeError != nil {
 		return outcome, writeError
 	}
+	progress(strings.TrimSpace(out.String())) // as measured, before anything is fitted
 	return outcome, json.Unmarshal(out.Bytes(), &outcome)
 }
 
