Membership: a seed that is gone takes no exchange's place

There the only seed has left, and every other exchange went to it. Now each exchange is with a member, and the seed is tried beside it at the first and every fourth.

--- a/internal/fleet/member/exchange.go
+++ b/internal/fleet/member/exchange.go
@@ -9,6 +9,8 @@
 	"time"
 )
 
+const seedEvery = 4 // exchanges to one with a seed that is not in the view, if there is one; the first is with one
+
 // rejoin runs until the end. While this member knows no other it tries the seeds every second: they may come up later than
 // it, or all be gone for a while. Otherwise it tries one member declared dead, in turn, so that the sides of a partition find
 // each other again. One dial at a time.
@@ -54,44 +56,46 @@
 			return
 		case <-time.After(jitter(min(step, regular))):
 		}
-		m.exchangeOnce(seeds, turn)
+		m.Exchange()
+		if turn%seedEvery == 0 {
+			m.meetSeed(seeds)
+		}
 		if step < regular {
 			step *= exchangeGrowth
 		}
 	}
 }
 
-func (m *Member) exchangeOnce(seeds []string, turn int) {
-	if address := m.peer(seeds, turn); address != "" {
-		_, _ = m.list.Join([]string{address}) // not reached: the next exchange is with another
+// Exchange begins one full exchange with a member by chance, beside those that it begins by itself, and waits for its end.
+func (m *Member) Exchange() {
+	if addresses := m.others(); len(addresses) > 0 {
+		_, _ = m.list.Join(pick(addresses)) // not reached: the next exchange is with another
 	}
 }
 
-// Exchange begins one full exchange with a member by chance, beside those that it begins by itself, and waits for its end.
-func (m *Member) Exchange() { m.exchangeOnce(nil, 0) }
+// meetSeed exchanges with a seed that is not in the view, if there is one, so that two groups that grew from different seeds
+// become one.
+func (m *Member) meetSeed(seeds []string) {
+	known := m.others()
+	strangers := slices.DeleteFunc(slices.Clone(seeds), func(seed string) bool { return slices.Contains(known, seed) })
+	if len(strangers) > 0 {
+		_, _ = m.list.Join(pick(strangers)) // gone, or not up yet
+	}
+}
 
-// peer chooses whom to exchange with, "" for nobody: a member by chance, and every other time a seed that is not in the view
-// if there is one, so that two groups that grew from different seeds become one.
-func (m *Member) peer(seeds []string, turn int) string {
+// others are the addresses of all members in the view but itself.
+func (m *Member) others() (addresses []string) {
 	self := m.list.LocalNode().Name
-	var addresses []string
 	for _, node := range m.list.Members() {
 		if node.Name != self {
 			addresses = append(addresses, node.Address())
 		}
 	}
-	if turn%2 == 0 {
-		strangers := slices.DeleteFunc(slices.Clone(seeds), func(seed string) bool { return slices.Contains(addresses, seed) })
-		if len(strangers) > 0 {
-			return strangers[rand.IntN(len(strangers))]
-		}
-	}
-	if len(addresses) == 0 {
-		return ""
-	}
-	return addresses[rand.IntN(len(addresses))]
+	return addresses
 }
 
+func pick(addresses []string) []string { return []string{addresses[rand.IntN(len(addresses))]} }
+
 // nextGone is the address of the next dead member to try, "" for none; those past reconnectFor are dropped.
 func (m *Member) nextGone() string {
 	m.mu.Lock()
