Classes are read one by one, as tenants are: 20,000 of them would have held the core at the end of the file

Need: the bound on classes has grown to 20,000; all were kept as raw sections and turned into classes at the end of the file, without a pause. Now each is read, checked and forgotten in its turn.

--- a/internal/settingsjson/read.go
+++ b/internal/settingsjson/read.go
@@ -58,7 +58,7 @@
 type reader struct {
 	in      *json.Decoder
 	top     section
-	classes []section
+	classes []settings.Class
 	tenants [][]settings.Tenant // in chunks, so that a long list is not copied again and again
 	fault   *Fault
 }
@@ -119,15 +119,23 @@
 	return err
 }
 
+// readClasses keeps nothing of an entry but what a Class holds; the lists of the domain add to it.
 func (r *reader) readClasses() error {
 	r.classes = nil
+	seen := newDigests()
+	standing := func(name string) bool {
+		return slices.ContainsFunc(r.classes, func(class settings.Class) bool { return class.Name == name })
+	}
+	var entry section // of one after the other
 	return r.list("classes", settings.MaxClasses, func(place int) error {
-		var class section
-		err := r.in.Decode(&class)
-		if mismatch := (*json.UnmarshalTypeError)(nil); errors.As(err, &mismatch) {
+		clear(entry)
+		err := r.in.Decode(&entry)
+		if mismatch := (*json.UnmarshalTypeError)(nil); err != nil && errors.As(err, &mismatch) {
 			r.fail(fmt.Sprint("classes.", place), "a "+mismatch.Value, "an object")
 			err = nil
 		}
+		class := r.class(fmt.Sprint("classes.", place), entry)
+		r.name("classes", place, class.Name, seen, standing)
 		r.classes = append(r.classes, class)
 		return err
 	})
@@ -205,24 +213,15 @@
 
 // settings makes the typed value of all that was read.
 func (r *reader) settings() settings.Settings {
-	s := settings.Settings{Server: r.server(), Tenants: slices.Concat(r.tenants...)}
+	s := settings.Settings{Server: r.server(), Classes: r.classes, Tenants: slices.Concat(r.tenants...)}
 	domain := r.section("domain")
-	seen := newDigests()
-	standing := func(name string) bool {
-		return slices.ContainsFunc(s.Classes, func(class settings.Class) bool { return class.Name == name })
-	}
 	calls := each(r, domain, "calls_by_class", r.flag)
 	degraded := each(r, domain, "degraded_worth", r.number)
-	for place, class := range r.classes {
-		c := r.class(fmt.Sprint("classes.", place), class)
-		if place < len(calls) {
-			c.Calls = calls[place]
-		}
-		if place < len(degraded) {
-			c.DegradedValue = degraded[place]
-		}
-		r.name("classes", place, c.Name, seen, standing)
-		s.Classes = append(s.Classes, c)
+	for place := range min(len(calls), len(s.Classes)) {
+		s.Classes[place].Calls = calls[place]
+	}
+	for place := range min(len(degraded), len(s.Classes)) {
+		s.Classes[place].DegradedValue = degraded[place]
 	}
 	return s
 }
