No call is left out beside the runtime: its protocol has no command for it

A trial that prints what the runtime says: after 'omit' nothing comes, no nack either, until 'end cut' 1.5 to 2.7 s later. The runs counted on the cores meanwhile, the width rose as if they were at a disk, and their time was learned as the class's.

Change: the instance hands the module no class with a value for an answer without its call; the command is gone.

Test: TestNoCallIsLeftOutBesideTheRuntime fails without the mend both ways.

--- a/internal/node/acts.go
+++ b/internal/node/acts.go
@@ -68,8 +68,10 @@
 	n.below.Call(it.rid, patience, it.call)
 }
 
-// LeaveOut goes on without it.
-func (n *Instance) LeaveOut(w int) { n.runtime.LeaveOut(n.items[w].rid) }
+// LeaveOut is never called: no class has a value for an answer without its call (withRuntime).
+func (n *Instance) LeaveOut(w int) {
+	panic("node: the runtime has no command to go on without a call")
+}
 
 func (n *Instance) digest(body []byte) uint64 { return maphash.Bytes(n.digests, body) }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,8 +134,12 @@
 
 // New makes an instance that waits for its runtime. Its tables follow from the memory it may have.
 func New(s settings.Settings, seed uint64, stop time.Duration, memory int64, log *zap.Logger) *Instance {
+	classes := make([]settings.Class, 0, len(s.Classes))
+	for _, class := range s.Classes {
+		classes = append(classes, withRuntime(class))
+	}
 	n := &Instance{log: log, server: s.Server, version: firstVersion, seed: seed, stop: stop, room: int(memory / 4), free: -1, start: time.Now(),
-		classes: newTable(s.Classes), tenants: newTable(s.Tenants), byRid: map[string]int{},
+		classes: newTable(classes), tenants: newTable(s.Tenants), byRid: map[string]int{},
 		keys: map[string]*keyEntry{}, digests: maphash.MakeSeed(), checks: map[string]check{}, gauges: noReadings}
 	return n
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -28,7 +28,6 @@
 func (s *sides) Start(rid, class string, body []byte) { s.put("start %s %s %s", rid, class, body) }
 func (s *sides) Stop(rid string)                      { s.put("stop %s", rid) }
 func (s *sides) Give(rid string, reply []byte)        { s.put("give %s %s", rid, reply) }
-func (s *sides) LeaveOut(rid string)                  { s.put("omit %s", rid) }
 func (s *sides) Gauges()                              { s.put("gauges") }
 func (s *sides) SelfTest(tag string)                  { s.put("test") }
 func (s *sides) Call(rid string, _ time.Duration, b []byte) {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -84,6 +84,7 @@
 	for _, class := range c.Set {
 		was := n.classes.known(class.Name)
 		longer = longer || was != nil && class.KeyWindow.Seconds(0) > was.KeyWindow.Seconds(0)
+		class = withRuntime(class)
 		index := n.classes.set(class)
 		if n.mod != nil {
 			n.mod.SetClass(index, class)
@@ -113,6 +114,13 @@
 	}
 }
 
+// withRuntime is a class as the module may take it beside the runtime. The runtime's protocol has no command by which a run
+// goes on without the call that it stands at, so no answer is made without one, whatever the settings would pay for it.
+func withRuntime(class settings.Class) settings.Class {
+	class.DegradedValue = settings.Number{}
+	return class
+}
+
 // newModule makes the decision module by the settings in force.
 func (n *Instance) newModule() *policy.Instance {
 	mod := policy.New(n, n.seed, settings.Settings{Server: n.server, Classes: n.classes.values(), Tenants: n.tenants.values()})
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -406,3 +406,39 @@
 		})
 	}
 }
+
+// The runtime has no command by which a run goes on without its call. Settings that pay for an answer without one, from the
+// start or by a later change, must not make the module leave a call out: that run would stand until it is given up.
+func TestNoCallIsLeftOutBesideTheRuntime(t *testing.T) {
+	pays := func(s *settings.Settings) {
+		for k := range s.Classes {
+			s.Classes[k].DegradedValue = settings.Of(0.6)
+		}
+	}
+	without := testkit.TypedSettings(nil)
+	for name, start := range map[string]func() (*Instance, *sides){
+		"from the start": func() (*Instance, *sides) { return up(pays) },
+		"by a later change": func() (*Instance, *sides) {
+			n, s := up(nil)
+			n.apply(t, without, testkit.TypedSettings(pays))
+			return n, s
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n, s := start()
+			n.ask(s, "a", "safe", "", 0)
+			n.Wants("a", []byte("below"))
+			n.Round()
+			s.wants(t, 1, "call a below")
+			n.Returned("a", policy.Failed, 10*time.Millisecond, nil) // where it pays, the module leaves the call out now
+			n.Round()
+			s.wants(t, 2, "call a below")
+			n.Returned("a", policy.OK, 10*time.Millisecond, []byte("reply"))
+			n.Round()
+			s.wants(t, 1, "give a reply")
+			n.End("a", policy.OK, 20*time.Millisecond, []byte("done"))
+			n.Round()
+			s.wants(t, 1, "answer a 0 done")
+		})
+	}
+}
--- a/internal/node/types.go
+++ b/internal/node/types.go
@@ -63,7 +63,6 @@
 	Start(rid, class string, body []byte)
 	Stop(rid string)
 	Give(rid string, reply []byte)
-	LeaveOut(rid string)
 	Gauges()
 	SelfTest(tag string)
 }
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -279,9 +279,6 @@
 // Stop stops a run.
 func (l *Link) Stop(task string) { l.send("stop", task, "", nil, "") }
 
-// LeaveOut lets a run go on without its call.
-func (l *Link) LeaveOut(task string) { l.send("omit", task, "", nil, "") }
-
 // Give hands a run the reply to its call.
 func (l *Link) Give(task string, reply []byte) {
 	if reply == nil {
