Membership: a change of the own record does not wait for gossip

Cause: Set waited in UpdateNode until memberlist counted the change as passed on, 0.68 s for two members and up to a second in a large view, and cmd/thymechute's keep claims its rank before it settles and logs the next view: a survivor whose rank moved twice was late by two such waits. Leave held the same lock behind a change that waited.

--- a/internal/fleet/member/change_test.go
+++ b/internal/fleet/member/change_test.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"thymechute/internal/testkit"
 )
 
 // heard counts the changes of records that a member hears of.
@@ -75,6 +77,30 @@
 	}
 }
 
+// A member that settles its rank anew as others leave, one after the other, must not wait for gossip between: four rounds of
+// 200 ms pass until a change counts as passed on, for each of them.
+func TestAChangeDoesNotWaitForGossip(t *testing.T) {
+	m, _ := startAlone(t)
+	other, err := Start(Config{Name: "b", Bind: freeAddress(t, 21), Seeds: []string{m.list.LocalNode().Address()}, Most: 4,
+		Record: Record{Zone: "z1", Rank: -1}}, &heard{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = other.Stop() })
+	testkit.Eventually(t, "both see each other", func() bool { return len(m.View()) == 2 && len(other.View()) == 2 })
+	const changes = 10
+	began := time.Now()
+	for n := range changes {
+		if err := m.Set(Record{Zone: "z1", Rank: n}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(began); took > changes*200*time.Millisecond {
+		t.Errorf("%d changes took %v, a round of gossip each at least", changes, took)
+	}
+	testkit.Eventually(t, "the last is heard", func() bool { return other.View()["a"].Rank == changes-1 })
+}
+
 func TestAFaultyRecordChangesNothing(t *testing.T) {
 	m, watch := startAlone(t)
 	if err := m.Set(Record{Zone: fmt.Sprintf("%0100d", 1)}); err == nil {
