Fleet: the attribute region, from the operator's file to who votes

internal/decide/voters spreads voters over regions first, so that a region lost leaves a quorum; nothing in the program fed it. Now the attribute region of the element fleet goes into the member's record (at most 64 bytes, left out when empty), from there to log.Peer and voters.Member. Off unless set.

Each fails with its guard out: Region not handed to the candidate, not to the peer, the record's bound, omitempty, the file's bound. log_test.go: Peer's literal by names, as it has a field more; agreed_test.go: startLogFleet takes places, the same ones for the test that stood there; operator_test.go: the defaults' test also wants no region.

--- a/cmd/thymechute/agreed.go
+++ b/cmd/thymechute/agreed.go
@@ -81,7 +81,8 @@
 
 func (a *agreed) peers() (out []log.Peer) {
 	for _, r := range a.member.View() {
-		out = append(out, log.Peer{Process: r.Process, Address: r.Log, Zone: r.Zone, Applied: r.Applied, Leaving: r.Flag == "leaving"})
+		out = append(out, log.Peer{Process: r.Process, Address: r.Log, Zone: r.Zone, Region: r.Region, Applied: r.Applied,
+			Leaving: r.Flag == "leaving"})
 	}
 	return out
 }
--- a/cmd/thymechute/agreed_test.go
+++ b/cmd/thymechute/agreed_test.go
@@ -24,32 +24,42 @@
 	before   map[string]string // what a process that was started anew under this name had logged
 }
 
-// startLogFleet starts so many, the first founding the log.
-func startLogFleet(t *testing.T, octet, size int) *logFleet {
+// place is where a member stands, as attributes of the element fleet.
+type place struct{ zone, region string }
+
+func (p place) String() string {
+	if p.region == "" {
+		return fmt.Sprintf("zone=%q", p.zone)
+	}
+	return fmt.Sprintf("zone=%q region=%q", p.zone, p.region)
+}
+
+// startLogFleet starts one at each place, the first founding the log.
+func startLogFleet(t *testing.T, octet int, at []place) *logFleet {
 	f := &logFleet{t: t, net: faultnet.New(1), worlds: map[string]*testkit.World{}, settings: map[string]string{}, before: map[string]string{}}
 	t.Cleanup(f.net.Close)
-	type place struct{ bind, front, logBind, logFront string }
-	var places []place
-	for n := range size {
+	type ports struct{ bind, front, logBind, logFront string }
+	var all []ports
+	for n := range at {
 		name := fmt.Sprint("m", n)
 		own, front := fmt.Sprintf("127.0.%d.%d", octet, n+1), fmt.Sprintf("127.0.%d.%d", octet+1, n+1)
-		p := place{testkit.FreePort(t, own), testkit.FreePort(t, front), testkit.FreePort(t, own), testkit.FreePort(t, front)}
-		for _, at := range [][2]string{{p.bind, p.front}, {p.logBind, p.logFront}} {
-			if err := f.net.Front(name, at[0], at[1]); err != nil {
+		p := ports{testkit.FreePort(t, own), testkit.FreePort(t, front), testkit.FreePort(t, own), testkit.FreePort(t, front)}
+		for _, pair := range [][2]string{{p.bind, p.front}, {p.logBind, p.logFront}} {
+			if err := f.net.Front(name, pair[0], pair[1]); err != nil {
 				t.Fatal(err)
 			}
 		}
-		places, f.names = append(places, p), append(f.names, name)
+		all, f.names = append(all, p), append(f.names, name)
 	}
 	for n, name := range f.names {
-		p, seed, found := places[n], places[0], ""
+		p, seed, found := all[n], all[0], ""
 		if n == 0 { // its seed is for when it starts again
-			seed, found = places[1], ` found="`+time.Now().Format(time.RFC3339)+`"`
+			seed, found = all[1], ` found="`+time.Now().Format(time.RFC3339)+`"`
 		}
 		f.settings[name] = filepath.Join(t.TempDir(), name+".xml")
-		text := fmt.Sprintf(`<thymechute xmlns="urn:thymechute:operator:1"><fleet bind="%s" advertise="%s" zone="z%d" probe-ms="200" sync-ms="500">`+
+		text := fmt.Sprintf(`<thymechute xmlns="urn:thymechute:operator:1"><fleet bind="%s" advertise="%s" %v probe-ms="200" sync-ms="500">`+
 			`<seed address="%s"/><log bind="%s" advertise="%s" lease-ms="1000"%s/></fleet></thymechute>`,
-			p.bind, p.front, n%2, seed.front, p.logBind, p.logFront, found)
+			p.bind, p.front, at[n], seed.front, p.logBind, p.logFront, found)
 		if err := os.WriteFile(f.settings[name], []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -81,6 +91,8 @@
 
 var lineForm = regexp.MustCompile(`(?m)^(\S+)\t\w+\t(m\d+)\t([^\t{]+?)(?:\t(\{.*\}))?$`)
 
+var leaderForm = regexp.MustCompile(`fleet log: (?:no leader|leader\t\{"process": "([^"]*)")`)
+
 // lines are those of all programs with these words, each program's in its order.
 func (f *logFleet) lines(words string) (out []line) {
 	for _, name := range f.names {
@@ -131,7 +143,7 @@
 // Five real programs agree on one owner a duty: through a kill, a cut, a drain and a founder that starts again with its old
 // file, which must not found a second log.
 func TestProgramsAgreeOnOneOwner(t *testing.T) {
-	f := startLogFleet(t, 70, 5)
+	f := startLogFleet(t, 70, []place{{zone: "z0"}, {zone: "z1"}, {zone: "z0"}, {zone: "z1"}, {zone: "z0"}})
 	ring := f.next("ring", line{})
 	f.next("roll", line{})
 	f.eventually("five voters", func() bool { return f.votes() == 5 })
@@ -199,3 +211,52 @@
 		}
 	}
 }
+
+// voting are the processes that vote, by the leaders' last words of each.
+func (f *logFleet) voting() (out []string) {
+	last := map[string]line{}
+	for _, l := range append(append(f.lines("founded"), f.lines("member votes")...), f.lines("member dropped")...) {
+		if l.at.After(last[l.Process].at) {
+			last[l.Process] = l
+		}
+	}
+	for process, l := range last {
+		if l.words != "fleet log: member dropped" {
+			out = append(out, process)
+		}
+	}
+	return out
+}
+
+// Seven real programs in three regions, by the attribute region of their files: the five voters lie two, two and one, though
+// the first region's four are over the most zones; so with that region lost the log goes on.
+func TestARegionOfTheFileLostLeavesAnOwner(t *testing.T) {
+	f := startLogFleet(t, 72, []place{{"z1", "a"}, {"z2", "a"}, {"z3", "a"}, {"z4", "a"}, {"z0", "b"}, {"z0", "b"}, {"z0", "c"}})
+	region := func(process string) string {
+		name, _, _ := strings.Cut(process, "#")
+		return map[string]string{"m4": "b", "m5": "b", "m6": "c"}[name] // "": the first
+	}
+	f.eventually("two voters in each of two regions and one in the third", func() bool {
+		count := map[string]int{}
+		for _, process := range f.voting() {
+			count[region(process)]++
+		}
+		return count[""] == 2 && count["b"] == 2 && count["c"] == 1
+	})
+	for _, name := range f.names[:4] {
+		f.worlds[name].Program.Cmd.Process.Kill()
+		f.worlds[name].Program.Exit()
+	}
+	f.eventually("all that are left have a leader among them", func() bool {
+		for _, name := range f.names[4:] {
+			leaders := leaderForm.FindAllStringSubmatch(f.log(name), -1)
+			if len(leaders) == 0 || region(leaders[len(leaders)-1][1]) == "" {
+				return false
+			}
+		}
+		return true
+	})
+	f.eventually("both duties are held by members that are left", func() bool {
+		return region(f.holder("ring").name) != "" && region(f.holder("roll").name) != ""
+	})
+}
--- a/cmd/thymechute/fleet.go
+++ b/cmd/thymechute/fleet.go
@@ -94,7 +94,7 @@
 		seeds[i] = s.Address
 	}
 	watch := &fleetLog{log: log, changed: make(chan struct{}, 1), named: map[string]bool{}}
-	f := &fleet{own: member.Record{Zone: o.Zone, Rank: -1, Epoch: uint64(time.Now().UnixMilli())},
+	f := &fleet{own: member.Record{Zone: o.Zone, Region: o.Region, Rank: -1, Epoch: uint64(time.Now().UnixMilli())},
 		within: min(stop/3, time.Second), done: make(chan struct{}), kept: make(chan struct{})}
 	if o.Log != nil {
 		f.agreed = newAgreed(o.Log, &f.own, name, log)
--- a/internal/fleet/log/lead.go
+++ b/internal/fleet/log/lead.go
@@ -14,6 +14,7 @@
 // Peer is one process as membership has it.
 type Peer struct {
 	Process, Address, Zone string
+	Region                 string // several zones that may be lost together; "" where it names none
 	Applied                uint64
 	Leaving                bool
 }
@@ -49,6 +50,12 @@
 	return within || (!s.caught.IsZero() && now.Sub(s.caught) < caughtFor)
 }
 
+// candidate is what the choice of voters knows of it.
+func (s *seen) candidate(silent time.Duration, caughtUp bool, now time.Time) voters.Member {
+	return voters.Member{Process: s.Process, Zone: s.Zone, Region: s.Region, Age: now.Sub(s.first), SilentFor: silent, Leaving: s.Leaving,
+		CaughtUp: caughtUp, Ended: s.ended}
+}
+
 // Care runs at every member, and acts only at the leader, until stop: peers gives the view, say tells each change and each
 // new reason for none.
 func (d *Driver) Care(peers func() []Peer, b voters.Bounds, say func(voters.Change)) {
@@ -135,8 +142,7 @@
 				failed = "a follower could not be added: " + err.Error() // not to hold up the rest
 			}
 		}
-		members = append(members, voters.Member{Process: id, Zone: s.Zone, Age: now.Sub(s.first), SilentFor: silent, Leaving: s.Leaving,
-			CaughtUp: s.caughtUp(committed, now) && follows[id], Ended: s.ended})
+		members = append(members, s.candidate(silent, s.caughtUp(committed, now) && follows[id], now))
 	}
 	var learners []string
 	if *learner != "" {
--- a/internal/fleet/log/log_test.go
+++ b/internal/fleet/log/log_test.go
@@ -117,7 +117,7 @@
 	t.d.Placed("roll", place+2)
 	t.d.Care(func() (out []Peer) {
 		for _, r := range m.View() {
-			out = append(out, Peer{r.Process, r.Log, r.Zone, r.Applied, r.Flag == "leaving"})
+			out = append(out, Peer{Process: r.Process, Address: r.Log, Zone: r.Zone, Applied: r.Applied, Leaving: r.Flag == "leaving"})
 		}
 		return out
 	}, bounds, func(c voters.Change) {
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -1,6 +1,6 @@
 // Package member finds and watches the other instances of a fleet with SWIM, as hashicorp/memberlist does it
 // (probes, suspicion, incarnation numbers, gossip); no protocol of ours. Each member carries a small versioned record
-// (zone, epoch, capacity, lag, flag, share, rank) in memberlist's node metadata, and what it hears is handed to a
+// (zone, region, epoch, capacity, lag, flag, share, rank) in memberlist's node metadata, and what it hears is handed to a
 // Watcher as one method call a change, from memberlist's own goroutines: the watcher must hand it on to its loop and
 // return, never block.
 //
--- a/internal/fleet/member/record.go
+++ b/internal/fleet/member/record.go
@@ -17,6 +17,7 @@
 	V        int     `json:"v"`
 	Name     string  `json:"name"`               // its member name again, so that a record can't be worn by another
 	Zone     string  `json:"zone"`               // up to 64 bytes
+	Region   string  `json:"region,omitempty"`   // up to 64 bytes; a build that does not know it reads past it
 	Epoch    uint64  `json:"epoch"`              // when it joined, in the fleet's epochs; ties go by name
 	Rank     int     `json:"rank"`               // the rank it holds, -1 for none (internal/decide/subset)
 	Capacity float64 `json:"capacity,omitempty"` // work items a second it can take, 0 and more
@@ -42,6 +43,8 @@
 		return fmt.Errorf("record of %q: release found %d bytes, expected at most 64", name, len(r.Release))
 	case len(r.Zone) > 64:
 		return fmt.Errorf("record of %q: zone found %d bytes, expected at most 64", name, len(r.Zone))
+	case len(r.Region) > 64:
+		return fmt.Errorf("record of %q: region found %d bytes, expected at most 64", name, len(r.Region))
 	case r.Capacity < 0 || r.LagMS < 0 || r.Share < 0 || r.Share > 1 || r.Rank < -1:
 		return fmt.Errorf("record of %q: capacity %g, lag %d, share %g, rank %d: expected 0 and more, share to 1, rank from -1",
 			name, r.Capacity, r.LagMS, r.Share, r.Rank)
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -17,6 +17,7 @@
 	Bind      string   `xml:"bind,attr"`
 	Advertise string   `xml:"advertise,attr"`
 	Zone      string   `xml:"zone,attr"`
+	Region    string   `xml:"region,attr"` // "": not told
 	Most      int      `xml:"most,attr"`
 	ProbeMS   int      `xml:"probe-ms,attr"`
 	SyncMS    int      `xml:"sync-ms,attr"`
@@ -35,6 +36,23 @@
 	FoundAt time.Time `xml:"-"` // from Found; zero: this member founds none
 }
 
+// mostPlaceBytes is the longest zone or region that a member's record carries (internal/fleet/member).
+const mostPlaceBytes = 64
+
+// check says what no schema can, of the log too.
+func (f *Fleet) check() error {
+	for _, place := range []struct{ name, value string }{{"zone", f.Zone}, {"region", f.Region}} {
+		if len(place.value) > mostPlaceBytes {
+			return &xsd.Fault{Line: f.Line, Element: "fleet", Found: fmt.Sprintf("%s=%q", place.name, place.value),
+				Want: fmt.Sprintf("at most %d bytes", mostPlaceBytes)}
+		}
+	}
+	if f.Log == nil {
+		return nil
+	}
+	return f.Log.check()
+}
+
 // check says what no schema can.
 func (l *Log) check() (err error) {
 	if l.Voters%2 == 0 {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -50,8 +50,8 @@
 			return nil, err
 		}
 	}
-	if f.Fleet != nil && f.Fleet.Log != nil {
-		if err := f.Fleet.Log.check(); err != nil {
+	if f.Fleet != nil {
+		if err := f.Fleet.check(); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -121,7 +121,7 @@
 		t.Fatal(err)
 	}
 	if g := f.Fleet; g == nil || g.Bind != "127.0.0.1:7946" || len(g.Seeds) != 1 || g.Most != 1024 || g.ProbeMS != 1000 ||
-		g.SyncMS != 5000 || g.Zone != "zone" || f.AMQP != nil {
+		g.SyncMS != 5000 || g.Zone != "zone" || g.Region != "" || f.AMQP != nil {
 		t.Fatalf("%+v", f.Fleet)
 	}
 	_, err = Read([]byte(head + `<fleet bind="127.0.0.1:7946" most="0"/>` + tail))
@@ -130,6 +130,33 @@
 	}
 }
 
+// The names of a zone and a region are held to the bytes that a member's record carries, before anything starts.
+func TestZoneAndRegionAreReadAndBounded(t *testing.T) {
+	with := func(attributes string) string {
+		return head + `<fleet bind="127.0.0.1:7946"` + attributes + `/>` + tail
+	}
+	long, wide := strings.Repeat("r", 64), strings.Repeat("é", 32)
+	for _, place := range []string{"eu", long, wide} {
+		f, err := Read([]byte(with(` zone="` + place + `" region="` + place + `"`)))
+		if err != nil || f.Fleet.Zone != place || f.Fleet.Region != place {
+			t.Errorf("%q: %v, %+v", place, err, f)
+		}
+	}
+	for _, name := range []string{"zone", "region"} {
+		for value, want := range map[string]string{
+			"":         `line 2, fleet: found ` + name + `="", expected a text of 1 to 64 characters`,
+			long + "r": `line 2, fleet: found ` + name + `="rrr`,
+			wide + "é": `line 2, fleet: found ` + name + `="` + wide + `é", expected at most 64 bytes`,
+		} {
+			_, err := Read([]byte(with(` ` + name + `="` + value + `"`)))
+			var fault *xsd.Fault
+			if !errors.As(err, &fault) || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("%s of %d bytes: %v, want %q", name, len(value), err, want)
+			}
+		}
+	}
+}
+
 func TestLogOfTheFleetIsReadAndChecked(t *testing.T) {
 	with := func(attributes string) string {
 		return head + `<fleet bind="127.0.0.1:7946"><log bind="127.0.0.1:7947"` + attributes + `/></fleet>` + tail
