Agreed log: nobody votes whom the leader's heartbeats miss

The leader now also goes by raft's own heartbeats (its observations, contact.go): whom they miss is not heard and may not vote, though it is not taken for dead any sooner; and in its first 1.25 s it changes no voter, by when a heartbeat to one that is gone has failed.

--- a/internal/fleet/log/lead.go
+++ b/internal/fleet/log/lead.go
@@ -142,8 +142,14 @@
 				failed = "a follower could not be added: " + err.Error() // not to hold up the rest
 			}
 		}
+		if silent == 0 && l.contact.misses(id, now) {
+			silent = careEvery // not heard, and no longer than that: membership tells who is dead
+		}
 		members = append(members, s.candidate(silent, s.caughtUp(committed, now) && follows[id], now))
 	}
+	if l.contact.early(now) {
+		return voters.Change{Why: "it has just begun to lead"}
+	}
 	var learners []string
 	if *learner != "" {
 		learners = []string{*learner}
--- a/internal/fleet/log/log.go
+++ b/internal/fleet/log/log.go
@@ -69,6 +69,8 @@
 	reader Reader
 	table  *owner.Table // for snapshots, and the machine; raft's goroutine alone
 	more   Machine
+
+	contact contact // of this process as the leader
 }
 
 // ErrNotLeader is of a proposal made elsewhere than at the leader.
@@ -105,6 +107,7 @@
 		_ = transport.Close()
 		return nil, fmt.Errorf("log: %w", err)
 	}
+	l.contact.watch(l.raft)
 	if c.Found {
 		if err := l.Found(); err != nil {
 			return nil, errors.Join(err, l.Stop())
