Membership: a leaving member exchanges with two that stay, last of all

Always the same figure: 1.5 s of leaving and a second of probe and suspicion. Cause: with 16 of 24 leaving at once, gossip may tell of one only to others that leave. Change: after its leave is gossiped a member exchanges with two that are not leaving, within a quarter of its time, then shuts down.

--- a/internal/fleet/log/contact_test.go
+++ b/internal/fleet/log/contact_test.go
@@ -57,7 +57,7 @@
 	began, learner := time.Now(), ""
 	known := map[string]*seen{}
 	look(known, []Peer{{Process: "c#1", Address: "c"}}, began.Add(-careEvery*10)) // the third of three, silent since
-	care := func(now time.Time) voters.Change { // b is in the view, as membership has it
+	care := func(now time.Time) voters.Change {                                   // b is in the view, as membership has it
 		look(known, []Peer{{Process: "a#1", Address: "a"}, {Process: "b#1", Address: at, Applied: 1000}}, now)
 		return a.care(known, &learner, now, voters.Bounds{Most: 3, HoldDown: time.Hour})
 	}
--- a/internal/fleet/member/exchange.go
+++ b/internal/fleet/member/exchange.go
@@ -73,6 +73,40 @@
 	}
 }
 
+// partWith is with how many of those that stay a leaving member exchanges last.
+const partWith = 2
+
+// part exchanges with some members that stay, within the limit. Where many leave at once gossip may have told of this one only
+// to others that leave as well; those that stay would find it dead by their probes, a second later.
+func (m *Member) part(limit time.Duration) {
+	stay := m.staying()
+	rand.Shuffle(len(stay), func(a, b int) { stay[a], stay[b] = stay[b], stay[a] })
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		for _, address := range stay[:min(partWith, len(stay))] {
+			_, _ = m.list.Join([]string{address})
+		}
+	}()
+	select {
+	case <-over:
+	case <-time.After(limit): // the shutdown ends what is still under way
+	}
+}
+
+// staying are the addresses of the other members in the view that are not leaving.
+func (m *Member) staying() (addresses []string) {
+	view := m.View()
+	self := m.list.LocalNode().Name
+	for _, node := range m.list.Members() {
+		record, known := view[node.Name]
+		if node.Name != self && known && record.Flag != "leaving" {
+			addresses = append(addresses, node.Address())
+		}
+	}
+	return addresses
+}
+
 // meetSeed exchanges with a seed that is not in the view, if there is one, so that two groups that grew from different seeds
 // become one.
 func (m *Member) meetSeed(seeds []string) {
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -164,7 +164,8 @@
 	return out
 }
 
-// Leave flags its record "leaving", tells the others that it goes (within timeout) and stops; the member can't be used after.
+// Leave flags its record "leaving", tells the others that it goes (within seven quarters of timeout) and stops; the member can't
+// be used after.
 func (m *Member) Leave(timeout time.Duration) error {
 	m.end()
 	m.mu.Lock()
@@ -174,6 +175,7 @@
 	defer m.telling.Unlock()
 	_ = m.list.UpdateNode(timeout / 2) // so that the others don't try it again as if it had died
 	err := m.list.Leave(timeout)
+	m.part(timeout / 4)
 	return errors.Join(err, m.list.Shutdown())
 }
 
