--- a/internal/fleet/slots/cold_test.go
+++ b/internal/fleet/slots/cold_test.go
@@ -1,7 +1,6 @@
 package slots
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"math"
@@ -97,31 +96,16 @@
 }
 
 func (b *backend) serve(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				text, _ := bufio.NewReader(c).ReadString('\n')
-				var a arrival
-				if n, _ := fmt.Sscan(text, &a.from, &a.cold); n == 2 {
-					b.mu.Lock()
-					a.at = time.Now()
-					b.got = append(b.got, a)
-					b.mu.Unlock()
-				}
-			}()
+	return listenForLines(t, func(text string) {
+		var a arrival
+		if n, _ := fmt.Sscan(text, &a.from, &a.cold); n != 2 {
+			return
 		}
-	}()
-	return l.Addr().String()
+		b.mu.Lock()
+		a.at = time.Now()
+		b.got = append(b.got, a)
+		b.mu.Unlock()
+	})
 }
 
 func (b *backend) all() []arrival {
--- a/internal/fleet/slots/slots_test.go
+++ b/internal/fleet/slots/slots_test.go
@@ -213,7 +213,9 @@
 	made int
 }
 
-func (s *stands) serve(t *testing.T, name string) string {
+// listenForLines hands each connection's first line to take, one goroutine a connection, and closes it after. It ends with the test.
+func listenForLines(t *testing.T, take func(line string)) (address string) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -228,32 +230,38 @@
 			go func() {
 				defer c.Close()
 				text, _ := bufio.NewReader(c).ReadString('\n')
-				var key string
-				var ms int
-				if n, _ := fmt.Sscan(text, &key, &ms); n != 2 {
-					return
-				}
-				s.mu.Lock()
-				if s.at[key] == nil {
-					s.at[key] = map[string]int{}
-				}
-				if s.made++; len(s.at[key]) > 0 && s.at[key][name] == 0 {
-					s.two++
-				}
-				s.at[key][name]++
-				s.mu.Unlock()
-				time.Sleep(time.Duration(ms) * time.Millisecond)
-				s.mu.Lock()
-				if s.at[key][name]--; s.at[key][name] == 0 {
-					delete(s.at[key], name)
-				}
-				s.mu.Unlock()
+				take(text)
 			}()
 		}
 	}()
 	return l.Addr().String()
 }
 
+func (s *stands) serve(t *testing.T, name string) string {
+	return listenForLines(t, func(text string) {
+		var key string
+		var ms int
+		if n, _ := fmt.Sscan(text, &key, &ms); n != 2 {
+			return
+		}
+		s.mu.Lock()
+		if s.at[key] == nil {
+			s.at[key] = map[string]int{}
+		}
+		if s.made++; len(s.at[key]) > 0 && s.at[key][name] == 0 {
+			s.two++
+		}
+		s.at[key][name]++
+		s.mu.Unlock()
+		time.Sleep(time.Duration(ms) * time.Millisecond)
+		s.mu.Lock()
+		if s.at[key][name]--; s.at[key][name] == 0 {
+			delete(s.at[key], name)
+		}
+		s.mu.Unlock()
+	})
+}
+
 // Five processes call by a ring that grows from four backends to six and shrinks to three, while a member is stopped, one is
 // cut off, the owner is killed in mid-move and started cold.
 func TestNoKeyAtTwoBackendsThroughFaultsBetweenProcesses(t *testing.T) {
