--- a/review/standin/runtime.go
+++ b/review/standin/runtime.go
@@ -30,6 +30,7 @@
 	running map[string]*time.Timer
 	runs    map[string]int // number of runs by task
 	bodies  map[string]int // number of runs by body
+	starts  map[string]time.Time
 }
 
 // StartRuntime listens on a free loopback port. work returns how long a request runs.
@@ -39,7 +40,7 @@
 		return nil, err
 	}
 	r := &Runtime{Address: listener.Addr().String(), listener: listener, record: record, work: work, started: time.Now(),
-		running: map[string]*time.Timer{}, runs: map[string]int{}, bodies: map[string]int{}}
+		running: map[string]*time.Timer{}, runs: map[string]int{}, bodies: map[string]int{}, starts: map[string]time.Time{}}
 	go func() {
 		for {
 			c, err := listener.Accept()
@@ -69,6 +70,14 @@
 	return r.bodies[body]
 }
 
+// StartOf returns when the run of a task began.
+func (r *Runtime) StartOf(task string) (time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, ok := r.starts[task]
+	return at, ok
+}
+
 type runtimeCommand struct {
 	Verb, Task, Handler, Nonce string
 	Bytes                      []byte
@@ -140,6 +149,7 @@
 		return
 	}
 	r.runs[command.Task]++
+	r.starts[command.Task] = time.Now()
 	r.bodies[string(command.Bytes)]++
 	r.record.Printf("runtime: run %s of class %s, body %q, run number %d of that body", command.Task, command.Handler, command.Bytes,
 		r.bodies[string(command.Bytes)])
--- a/review/standin/stub.go
+++ b/review/standin/stub.go
@@ -43,12 +43,6 @@
 	Answers   int
 }
 
-// OnOver and OnSend are called for each try that is over, and for each before it is written.
-var (
-	OnOver func(rid string)
-	OnSend func(try *Try)
-)
-
 // Conn is one connection of a client stub. It follows the page "Protocol": ids count up from 1, at most 32 requests are open, and
 // after a notification "closing" it sends nothing more.
 type Conn struct {
@@ -112,9 +106,6 @@
 	c.record.Printf("%s: sent id %d rid %s class %s tenant %s key %s body %q", c.name, try.ID, try.RID, request.Class, request.Tenant, request.Key, request.Body)
 	c.tries[try.ID] = try
 	c.open++
-	if OnSend != nil {
-		OnSend(try)
-	}
 	_, err := c.net.Write(append(line, '\n'))
 	try.WrittenAt = time.Now()
 	if err != nil {
@@ -137,9 +128,6 @@
 	for _, try := range c.tries {
 		if try.Status == Open {
 			try.Status = Lost
-			if OnOver != nil {
-				OnOver(try.RID)
-			}
 			try.EndedAt = c.ended
 		}
 	}
@@ -191,9 +179,6 @@
 	if message.Error != nil {
 		try.Answer = fmt.Sprint(message.Error.Code, " ", message.Error.Message)
 	}
-	if OnOver != nil {
-		OnOver(try.RID)
-	}
 	c.open--
 	if c.closing && c.open == 0 {
 		c.net.Close()
@@ -207,18 +192,6 @@
 	return *try
 }
 
-// Errors returns the number of errors other than refusals.
-func (c *Conn) Errors() (n int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, t := range c.tries {
-		if t.Status == Failed {
-			n++
-		}
-	}
-	return n
-}
-
 // Ended returns when the connection ended; the zero time if it has not.
 func (c *Conn) Ended() time.Time {
 	c.mu.Lock()
