--- a/review/cases/fulltable/main.go
+++ b/review/cases/fulltable/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command fulltable shows what a service instance with a full table of requests answers to a further try of a keyed request that
 // it has already run.
 //
@@ -11,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"review/standin"
+	"thymechute/review/standin"
 )
 
 const (
--- a/review/cases/tenant/main.go
+++ b/review/cases/tenant/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command tenant shows what happens to the requests of three tenants when a new configuration no longer has the fourth.
 //
 // Exit code: 0 the rule held, 1 it was broken, 2 the case couldn't run.
@@ -11,7 +13,7 @@
 	"syscall"
 	"time"
 
-	"review/standin"
+	"thymechute/review/standin"
 )
 
 const (
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Package standin has small stand-ins for the parties around one service instance: the runtime, the index, the catalog and a
 // client stub. They follow the pages "Protocol" and "Deployment" of the kit. It uses the standard library only.
 package standin
--- a/review/standin/runtime.go
+++ b/review/standin/runtime.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package standin
 
 import (
@@ -5,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"time"
 )
@@ -17,6 +20,8 @@
 // that has ended is answered with "gone".
 type Runtime struct {
 	Address  string
+	Waiting  float64 // share of a run's time in which it waits for a disk and needs no core
+	PadTo    int     // bytes of a result
 	listener net.Listener
 	record   *Record
 	work     func(handler string, body []byte) time.Duration
@@ -30,6 +35,7 @@
 	running map[string]*time.Timer
 	runs    map[string]int // number of runs by task
 	bodies  map[string]int // number of runs by body
+	ended   map[string]int // number of completed runs by body
 	starts  map[string]time.Time
 }
 
@@ -40,7 +46,7 @@
 		return nil, err
 	}
 	r := &Runtime{Address: listener.Addr().String(), listener: listener, record: record, work: work, started: time.Now(),
-		running: map[string]*time.Timer{}, runs: map[string]int{}, bodies: map[string]int{}, starts: map[string]time.Time{}}
+		running: map[string]*time.Timer{}, runs: map[string]int{}, bodies: map[string]int{}, starts: map[string]time.Time{}, ended: map[string]int{}}
 	go func() {
 		for {
 			c, err := listener.Accept()
@@ -70,6 +76,13 @@
 	return r.bodies[body]
 }
 
+// Completed returns how often a run of a request with this body was completed.
+func (r *Runtime) Completed(body string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ended[body]
+}
+
 // StartOf returns when the run of a task began.
 func (r *Runtime) StartOf(task string) (time.Time, bool) {
 	r.mu.Lock()
@@ -117,7 +130,7 @@
 			r.notify(`"verb":"end"`, fmt.Sprintf(`"task":%q,"outcome":"cut","spent":1`, command.Task))
 		}
 	case "gauges":
-		fmt.Fprintf(c, `{"verb":"load","nonce":%q,"readings":[0.5,%d,0.2,10]}`+"\n", command.Nonce, len(r.running))
+		fmt.Fprintf(c, `{"verb":"load","nonce":%q,"readings":[0.5,%d,0.2,10]}`+"\n", command.Nonce, int((1-r.Waiting)*float64(len(r.running))))
 	case "selftest":
 		fmt.Fprintf(c, `{"verb":"verdict","nonce":%q,"outcome":"good"}`+"\n", command.Nonce)
 	}
@@ -128,6 +141,10 @@
 		r.link.Close()
 	}
 	r.link = c
+	if read == 0 { // the service instance has started: its notices are numbered from 1
+		r.index = 0
+		r.notices = nil
+	}
 	state := "new"
 	if r.synced {
 		state = "old"
@@ -161,7 +178,9 @@
 			return
 		}
 		delete(r.running, command.Task)
-		result, _ := json.Marshal([]byte("result of " + string(command.Bytes)))
+		r.ended[string(command.Bytes)]++
+		text := "result of " + string(command.Bytes)
+		result, _ := json.Marshal([]byte(text + strings.Repeat(" ", max(r.PadTo-len(text), 0))))
 		r.notify(`"verb":"end"`, fmt.Sprintf(`"task":%q,"outcome":"good","spent":%d,"bytes":%s`, command.Task, took.Milliseconds(), result))
 	})
 }
--- a/review/standin/settings.go
+++ b/review/standin/settings.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package standin
 
 // Settings returns the settings of one intake server of a small deployment, in the form of the page "Wire protocol", section 12,
--- a/review/standin/stub.go
+++ b/review/standin/stub.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package standin
 
 import (
