--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,4 +5,4 @@
 folder=$(pwd)
 cd ../.. || exit 2
 [ -x bin/thymechute ] && [ -x bin/review-2 ] || { echo "not built" >&2; exit 2; }
-exec bin/review-2 halves "$folder"
+exec bin/review-2 ends "$folder"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds bin/review-2, which plays the cases 6 to 10: all stand-ins, the project's fake broker included, are linked into it.
+# Builds bin/review-2, which plays the cases 6 and 7: all stand-ins, the project's fake broker included, are linked into it.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p bin
