AMQP: a message that has ended gets no second run and no other answer

Cause: a rejected message is returned by a copy and then acked; a connection lost between the two leaves both in the queue, and the front forgot what it had done with them. Same on related paths: a lost ack or confirm after a served or dead-lettered message brought a second, contradicting answer, and a publish that was lost with its channel was taken as not made. Change: the front remembers the endings (new package internal/decide/redelivery, bounded) and looks each delivery up first; copies carry an id. Why it works: of a message and its copy exactly one is processed, whichever comes first, and an answer is repeated, never replaced.

--- a/internal/front/amqp/front.go
+++ b/internal/front/amqp/front.go
@@ -64,6 +64,7 @@
 	unsettled     map[uint64]*message // by delivery tag
 	unconfirmed   map[uint64]*message // by publish number
 	publishNumber uint64
+	endings       *endingTable
 	loopedBack    []*message // messages that this instance requeued while draining and that were delivered to it again
 	counts        messageCounts
 }
@@ -83,6 +84,7 @@
 		requestPrefix: requestPrefix(seed, time.Now()),
 		unconfirmed:   map[uint64]*message{},
 	}
+	f.endings = newEndingTable(f.maxUnsettled())
 	f.controller = intake.New(f, seed, intake.Config{
 		Brokers:         len(config.Brokers),
 		MinCredit:       config.MinCredit,
@@ -137,9 +139,12 @@
 }
 
 // dropSession ends a session and forgets its messages, which the broker will redeliver. Runs of idempotent requests continue,
-// and their results are cached for the redelivery.
+// and their results are cached for the redelivery. Of messages that have ended, the endings are remembered.
 func (f *Front) dropSession(s *session) {
 	s.abandon()
+	for _, m := range f.unsettled {
+		f.recordEnding(m, false)
+	}
 	f.session = nil
 	f.counts.callerGone += uint64(len(f.unsettled))
 	f.unsettled = nil
--- a/internal/front/amqp/headers.go
+++ b/internal/front/amqp/headers.go
@@ -10,6 +10,7 @@
 const (
 	drainingInstanceHeader = "x-thymechute-leaving" // of a requeued copy: name of the draining instance that requeued it
 	requeueCountHeader     = "x-thymechute-returns" // of a requeued copy: how often the message was requeued
+	copyIDHeader           = "x-thymechute-copy"    // of a requeued copy: identifies it
 	reasonHeader           = "x-thymechute-reason"  // of a dead letter or an error reply: why the message was dead-lettered
 	publishNumberHeader    = "x-thymechute-publish" // publish number, which identifies a publish that the broker returns
 	outcomeHeader          = "x-thymechute-outcome" // of a reply: replyServed or replyFailed
@@ -27,11 +28,13 @@
 	return int(count)
 }
 
-// requeuedCopy returns a copy of the message with the requeue count, and without the name of a draining instance.
+// requeuedCopy returns a copy of the message with the requeue count, and without the name of a draining instance and the id of an
+// earlier copy.
 func requeuedCopy(d *amqp.Delivery, requeues int) amqp.Publishing {
 	requeued := copyDelivery(d)
 	requeued.Headers[requeueCountHeader] = int64(requeues)
 	delete(requeued.Headers, drainingInstanceHeader)
+	delete(requeued.Headers, copyIDHeader)
 	return requeued
 }
 
@@ -41,6 +44,7 @@
 	letter := copyDelivery(d)
 	letter.Headers[reasonHeader] = reason
 	letter.Expiration = ""
+	delete(letter.Headers, copyIDHeader) // an operator who publishes the letter again publishes a new message
 	return letter
 }
 
--- a/internal/front/amqp/message.go
+++ b/internal/front/amqp/message.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"thymechute/internal/decide/intake"
+	"thymechute/internal/decide/redelivery"
 	"thymechute/internal/node"
 	"thymechute/internal/operator"
 )
@@ -23,8 +24,12 @@
 	deadline     time.Time // when the caller stops waiting; zero if unknown
 	outcome      intake.Outcome
 	retryAfter   time.Duration
-	isReply      bool // the publish before settling is the reply to the caller, not a copy of the message
-	isUnroutable bool // the broker routed that publish to no queue
+	isUnroutable bool // the broker routed the publish before settling to no queue
+	identity     redelivery.Identity
+	hasIdentity  bool
+	hasEnded     bool        // its final answer or its copy was submitted to the session
+	answer       finalAnswer // set if the final answer was submitted
+	copyID       string      // set if its copy was submitted
 }
 
 // isExpired reports whether the caller will have stopped waiting before another attempt could be answered.
@@ -44,6 +49,7 @@
 	unpublished  uint64 // returned to their queue because the broker did not accept a publish for them
 	callerGone   uint64 // unsettled when their connection ended
 	repliesLost  uint64 // replies that the broker routed to no queue
+	alreadyEnded uint64 // delivered again after they had ended, or after another message stood for them
 }
 
 // MarshalLogObject implements zapcore.ObjectMarshaler.
@@ -57,11 +63,12 @@
 	encoder.AddUint64("unpublished", c.unpublished)
 	encoder.AddUint64("caller_gone", c.callerGone)
 	encoder.AddUint64("replies_lost", c.repliesLost)
+	encoder.AddUint64("already_ended", c.alreadyEnded)
 	return nil
 }
 
-// receive records a delivery as unsettled and submits it to the instance. It discards oversized messages and dead-letters those
-// that can't be decoded.
+// receive records a delivery as unsettled and submits it to the instance, unless it has ended before. It discards oversized
+// messages and dead-letters those that can't be decoded.
 func (f *Front) receive(s *session, e *event) {
 	f.counts.received++
 	m := &message{
@@ -86,6 +93,10 @@
 		f.settle(m, nackAndDiscard(m.tag))
 		return
 	}
+	f.identify(m)
+	if f.settleIfEnded(m) {
+		return
+	}
 	if err := f.admit(s, m); err != nil {
 		f.counts.unreadable++
 		f.log.Warn("amqp: message can't be decoded, dead-lettered",
--- a/internal/front/amqp/outcome.go
+++ b/internal/front/amqp/outcome.go
@@ -60,15 +60,18 @@
 // replyAndAck acks a served message. If its sender wants a reply, the ack waits until the broker has confirmed the reply.
 func (f *Front) replyAndAck(m *message, result []byte) {
 	if m.delivery.ReplyTo == "" {
+		m.hasEnded = true
 		f.settle(m, ack(m.tag))
 		return
 	}
-	m.isReply = true
-	f.publishBeforeSettling(m, "", m.delivery.ReplyTo, amqp.Publishing{
-		CorrelationId: m.delivery.CorrelationId,
-		Body:          result,
-		Headers:       amqp.Table{outcomeHeader: replyServed},
-	})
+	reply := replyTo(&m.delivery, amqp.Publishing{Body: result, Headers: amqp.Table{outcomeHeader: replyServed}})
+	f.publishAnswer(m, finalAnswer{publications: []publication{reply}, isReply: true})
+}
+
+// replyTo returns the publication of a reply to the sender of a message.
+func replyTo(d *amqp.Delivery, reply amqp.Publishing) publication {
+	reply.CorrelationId = d.CorrelationId
+	return publication{key: d.ReplyTo, publishing: reply}
 }
 
 // reject requeues or dead-letters a message that the instance rejected.
@@ -92,41 +95,41 @@
 }
 
 // requeue publishes a copy with the requeue count to the end of the message's queue, and settles the message once the copy is
-// confirmed. A copy is not marked as redelivered, so its consumer knows that the message was not processed.
+// confirmed. A copy is not marked as redelivered, so its consumer knows that the message was not processed. Its id tells it from
+// its original, of which the queue has both if the connection is lost before the settlement.
 func (f *Front) requeue(m *message, requeues int) {
 	m.outcome = intake.Requeued
 	requeued := requeuedCopy(&m.delivery, requeues)
 	if f.draining {
 		requeued.Headers[drainingInstanceHeader] = f.name
 	}
-	f.publishBeforeSettling(m, "", m.queue.Name, requeued)
+	m.hasEnded = true
+	m.copyID = f.newCopyID()
+	requeued.Headers[copyIDHeader] = m.copyID
+	f.recordEnding(m, false) // the copy may arrive before its confirm
+	f.publishBeforeSettling(m, publication{key: m.queue.Name, publishing: requeued})
 }
 
 // deadLetter publishes a copy with the reason to the queue's configured dead-letter exchange, and settles the message once the
 // copy is confirmed. If a reply is requested, it publishes an error reply first, without waiting for its confirm.
 func (f *Front) deadLetter(m *message, reason string) {
 	f.counts.deadLettered++
+	var answer finalAnswer
 	if m.delivery.ReplyTo != "" {
-		f.publishNumber++
-		f.session.submit(publish(f.publishNumber, "", m.delivery.ReplyTo, amqp.Publishing{
-			CorrelationId: m.delivery.CorrelationId,
-			Headers:       amqp.Table{outcomeHeader: replyFailed, reasonHeader: reason},
-		}))
+		headers := amqp.Table{outcomeHeader: replyFailed, reasonHeader: reason}
+		answer.publications = append(answer.publications, replyTo(&m.delivery, amqp.Publishing{Headers: headers}))
 	}
-	f.publishBeforeSettling(m, m.queue.DeadLetterExchange, m.queue.DeadLetterRoutingKey, deadLetterCopy(&m.delivery, reason))
-}
-
-// publishBeforeSettling publishes a message that the broker has to confirm before m is settled.
-func (f *Front) publishBeforeSettling(m *message, exchange, key string, publishing amqp.Publishing) {
-	f.publishNumber++
-	f.unconfirmed[f.publishNumber] = m
-	f.controller.RequestSent(f.now())
-	f.session.submit(publish(f.publishNumber, exchange, key, publishing))
+	answer.publications = append(answer.publications, publication{
+		exchange:   m.queue.DeadLetterExchange,
+		key:        m.queue.DeadLetterRoutingKey,
+		publishing: deadLetterCopy(&m.delivery, reason),
+	})
+	f.publishAnswer(m, answer)
 }
 
 // handleConfirm settles the message for which the confirmed publish was made. A reply that was routed to no queue is lost, as
 // its caller is gone. After any other publish that failed or was routed to no queue, the message is returned to its queue, which
-// redelivers it.
+// redelivers it. Its ending is remembered, because a publish that was lost with its channel may have been taken.
 func (f *Front) handleConfirm(e *event) {
 	m := f.unconfirmed[e.publishNumber]
 	if m == nil {
@@ -137,23 +140,27 @@
 	switch {
 	case e.isAcked && !m.isUnroutable:
 		f.settle(m, ack(m.tag))
-	case e.isAcked && m.isReply:
+	case e.isAcked && m.answer.isReply:
 		f.counts.repliesLost++
 		f.settle(m, ack(m.tag))
 	default:
 		f.counts.unpublished++
 		f.log.Error("amqp: publish not accepted, message returned to its queue",
-			zap.Bool("reply", m.isReply),
+			zap.Bool("reply", m.answer.isReply),
 			zap.Bool("unroutable", m.isUnroutable),
 			zap.String("queue", m.queue.Name),
 			zap.String("dead_letter_exchange", m.queue.DeadLetterExchange))
 		m.outcome = intake.PublishFailed
+		f.recordEnding(m, false)
+		m.hasEnded = false
 		f.settle(m, nackAndRequeue(m.tag))
 	}
 }
 
-// settle submits the settlement of a message and removes it from the unsettled messages.
+// settle submits the settlement of a message and removes it from the unsettled messages. The settlement may be lost with the
+// connection, so the ending is remembered.
 func (f *Front) settle(m *message, settlement command) {
+	f.recordEnding(m, true)
 	delete(f.unsettled, m.tag)
 	f.session.submit(settlement)
 	f.controller.MessageSettled(f.now(), m.outcome, time.Since(m.receivedAt), m.retryAfter)
