Loop: bound the output that many connections cause in one poll

Cause: the loop read 64 KiB of each ready connection before the tick flushed, and limits on unsent output were enforced at the flush only: 600 connections with health checks whose answers nobody reads had up to 60 MB of output in memory. Change: output is flushed once a 64th of the memory limit is written, before the next connection is read. Why it works: a flush enforces the limits, so at most that and the answers to one read are outside them.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -87,13 +87,15 @@
 	l.scheduleTick()
 	err := errHandlerPanicked
 	WithRecover(l.log, "receive", func() { err = c.handler.Received(data) })
-	if err == nil {
-		return gnet.None
+	if err != nil {
+		l.log.Warn("connection closed", zap.Error(err), zap.Stringer("remote_addr", socket.RemoteAddr()))
+		c.Close()
+		if c.serverHandler == nil { // flush now, as its handler may reconnect at once
+			c.flush()
+		}
 	}
-	l.log.Warn("connection closed", zap.Error(err), zap.Stringer("remote_addr", socket.RemoteAddr()))
-	c.Close()
-	if c.serverHandler == nil { // flush now, as its handler may reconnect at once
-		c.flush()
+	if l.unflushedBytes > l.maxUnflushedBytes {
+		l.flush()
 	}
 	return gnet.None
 }
@@ -132,6 +134,7 @@
 		return
 	}
 	c.output = append(c.output, p...)
+	c.loop.unflushedBytes += len(p)
 	c.queueFlush()
 }
 
--- a/internal/loop/handler.go
+++ b/internal/loop/handler.go
@@ -4,7 +4,7 @@
 
 // Conn is a connection as its Handler sees it. All calls are made on the loop.
 type Conn interface {
-	// Write copies p and sends it at the end of the current tick.
+	// Write copies p and sends it at the end of the current tick at the latest.
 	Write(p []byte)
 	// Close stops delivering input. A dialled connection closes at once, an accepted one once its handler has nothing
 	// pending and all output is sent.
--- a/internal/loop/host_test.go
+++ b/internal/loop/host_test.go
@@ -42,6 +42,7 @@
 }
 
 func (e *echoHandler) Received(p []byte) error {
+	e.host.maxUnflushed = max(e.host.maxUnflushed, e.host.unflushed())
 	e.received = append(e.received, p...)
 	for _, b := range p {
 		if b == '!' {
@@ -90,6 +91,16 @@
 	opened     chan *echoHandler
 	closed     chan *echoHandler
 	runResult  chan error
+
+	maxUnflushed int // largest output of all connections that was not flushed when input was received, in bytes
+}
+
+// unflushed returns how many bytes of output of the accepted connections are not flushed.
+func (h *testHost) unflushed() (bytes int) {
+	for c := range h.loop.acceptedConns {
+		bytes += len(c.output)
+	}
+	return bytes
 }
 
 func (h *testHost) Accept() ServerHandler {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -5,7 +5,8 @@
 // Nothing on the loop may block. An error or a panic in a handler while it receives closes only the connection of that handler.
 //
 // All tables are bounded: unsent output by maxUnsentBytesPerConn for each connection and an eighth of the memory limit in
-// total, accepted connections by Host.Accept, and closing connections by Config.MaxLingering and lingerTimeout.
+// total, output that is not flushed yet by a 64th of it and what one connection's input causes, accepted connections by
+// Host.Accept, and closing connections by Config.MaxLingering and lingerTimeout.
 package loop
 
 import (
@@ -22,6 +23,7 @@
 const (
 	readBufferSize      = 64 << 10  // bytes read from one connection at a time
 	unsentMemoryDivisor = 8         // memory limit divided by this bounds the unsent output of all connections
+	flushMemoryDivisor  = 64        // memory limit divided by this bounds the output written between two flushes
 	initialTickDelay    = time.Hour // placeholder until the first tick sets the timer
 )
 
@@ -82,6 +84,8 @@
 	flushQueue          []*conn            // connections with output to send, or to be closed; emptied by each tick
 	connsWithUnsent     map[*conn]struct{} // connections with unsent output, as their peers do not read
 	maxTotalUnsentBytes int                // of all connections together
+	unflushedBytes      int                // written by handlers since the last flush
+	maxUnflushedBytes   int                // above this, output is flushed before further input is received
 
 	acceptedConns map[*conn]struct{}
 	lingering     map[*conn]struct{} // accepted connections that are closing and have nothing pending
@@ -119,6 +123,7 @@
 		listening:           true,
 		connsWithUnsent:     map[*conn]struct{}{},
 		maxTotalUnsentBytes: int(config.MemoryLimit / unsentMemoryDivisor),
+		maxUnflushedBytes:   int(config.MemoryLimit / flushMemoryDivisor),
 		acceptedConns:       map[*conn]struct{}{},
 		lingering:           map[*conn]struct{}{},
 		maxLingering:        config.MaxLingering,
--- a/internal/loop/output.go
+++ b/internal/loop/output.go
@@ -15,12 +15,14 @@
 	errTotalUnsentLimit = errors.New("unsent output of all connections exceeds its limit")
 )
 
-// flush sends the output of all connections in flushQueue and closes those that are to be closed.
+// flush sends the output of all connections in flushQueue and closes those that are to be closed. It runs at the end of each tick,
+// and earlier if the input of many connections causes much output.
 func (l *Loop) flush() {
 	for n := 0; n < len(l.flushQueue); n++ { // may grow: a flush may close a connection, whose handler may write to others
 		l.flushQueue[n].flush()
 	}
 	l.flushQueue = l.flushQueue[:0]
+	l.unflushedBytes = 0
 	if len(l.connsWithUnsent) > 0 {
 		l.enforceUnsentLimits()
 	}
