Loop: bound the kernel's buffers of the stubs' connections

Cause: Linux lets the buffers of each socket grow to megabytes (4 for sending, 32 for receiving on this machine); they count against the limit of a control group, and nothing bounded them.

--- a/cmd/thymechute/serve.go
+++ b/cmd/thymechute/serve.go
@@ -84,6 +84,8 @@
 		MemoryLimit:  s.config.MemoryBytes,
 		MaxLingering: s.descriptorShare,
 		Log:          s.log,
+
+		SocketBufferBytes: socketBufferBytes(s.config.MemoryBytes, s.descriptorShare),
 		OnStart: func(l *loop.Loop) {
 			s.connect(l)
 			s.handleSignals(l, r, signals)
--- a/internal/loop/accept.go
+++ b/internal/loop/accept.go
@@ -21,10 +21,15 @@
 // acceptedMarker is the gnet context of a connection that was accepted and not dialled.
 type acceptedMarker struct{}
 
-// listen listens on the address with SO_REUSEPORT, as a supervisor may hold the address between two incarnations.
-func listen(address string) (*net.TCPListener, error) {
+// listen listens on the address with SO_REUSEPORT, as a supervisor may hold the address between two incarnations. Accepted
+// connections inherit the buffer size; 0 means the system's default.
+func listen(address string, bufferBytes int) (*net.TCPListener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return setReusePort(raw)
+		options := []socketOption{{unix.SO_REUSEPORT, 1}}
+		if bufferBytes > 0 {
+			options = append(options, socketOption{unix.SO_SNDBUF, bufferBytes}, socketOption{unix.SO_RCVBUF, bufferBytes})
+		}
+		return setOptions(raw, options)
 	}}
 	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
@@ -33,12 +38,19 @@
 	return listener.(*net.TCPListener), nil
 }
 
-func setReusePort(raw syscall.RawConn) error {
-	var optionErr error
+// socketOption is an option of level SOL_SOCKET.
+type socketOption struct {
+	name  int
+	value int
+}
+
+func setOptions(raw syscall.RawConn, options []socketOption) (err error) {
 	controlErr := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+		for _, option := range options {
+			err = errors.Join(err, unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, option.name, option.value))
+		}
 	})
-	return errors.Join(optionErr, controlErr)
+	return errors.Join(err, controlErr)
 }
 
 // acceptConns passes accepted connections to the loop until closeListener sets a deadline in the past. It runs on a separate
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -5,8 +5,9 @@
 // Nothing on the loop may block. An error or a panic in a handler while it receives closes only the connection of that handler.
 //
 // All tables are bounded: unsent output by maxUnsentBytesPerConn for each connection and an eighth of the memory limit in
-// total, output that is not flushed yet by a 64th of it and what one connection's input causes, accepted connections by
-// Host.Accept, and closing connections by Config.MaxLingering and lingerTimeout.
+// total, output that is not flushed yet by a 64th of it and what one connection's input causes, the kernel's buffers of an
+// accepted connection by Config.SocketBufferBytes, accepted connections by Host.Accept, and closing connections by
+// Config.MaxLingering and lingerTimeout.
 package loop
 
 import (
@@ -58,6 +59,10 @@
 	MaxLingering int         // bounds the accepted connections that wait for their peers to close
 	Log          *zap.Logger // for connection errors and panics
 	OnStart      func(*Loop) // called once on the loop, before any other callback
+
+	// SocketBufferBytes is the size of the kernel's send buffer and that of its receive buffer for each accepted connection; 0
+	// means the system's default, with which the kernel lets them grow to megabytes. Linux allocates up to twice this size.
+	SocketBufferBytes int
 }
 
 // Loop is a running event loop. Its fields belong to the loop's goroutine.
@@ -96,7 +101,7 @@
 // Run listens on the configured address and drives the host until its phase is PhaseStopped, or PhaseClosingConns with all
 // accepted connections closed. It returns an error if it cannot listen, or if the engine fails to start or stop.
 func Run(config Config) error {
-	listener, err := listen(config.Address)
+	listener, err := listen(config.Address, config.SocketBufferBytes)
 	if err != nil {
 		return err
 	}
--- a/internal/loop/output_test.go
+++ b/internal/loop/output_test.go
@@ -4,6 +4,9 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
 
 	"thymechute/internal/testutil"
 )
@@ -44,3 +47,45 @@
 		}
 	})
 }
+
+// Guards against kernel buffers that grow to megabytes for each connection whose peer does not read, or whose input is not read.
+func TestSocketBuffersOfAcceptedConnectionsAreBounded(t *testing.T) {
+	const bufferBytes = 16 << 10
+	listener, err := listen("127.0.0.1:0", bufferBytes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	accepted, err := listener.AcceptTCP()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	if err := accepted.SetWriteDeadline(time.Now().Add(200 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	chunk := make([]byte, bufferBytes)
+	for err == nil { // until the client's receive buffer and the send buffer are full
+		_, err = accepted.Write(chunk)
+	}
+	raw, err := accepted.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, option := range map[string]int{"send": unix.SO_SNDBUF, "receive": unix.SO_RCVBUF} {
+		var size int
+		if controlErr := raw.Control(func(fd uintptr) {
+			size, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, option)
+		}); controlErr != nil || err != nil {
+			t.Fatal(controlErr, err)
+		}
+		if size > 2*bufferBytes {
+			t.Errorf("%s buffer of %d bytes, want at most %d", name, size, 2*bufferBytes)
+		}
+	}
+}
