Policy: bound the callers that a period tells apart; floods beside a busy runtime

Cause: each caller number of a request was entered into a map that is emptied every 0.5 s, so its size followed the rate of one flooding client, which also made the advertised window of all others small. Change: at most 4,096 callers are tracked, more than an instance has connections. The flood test runs against a runtime whose runs take 10 ms. Requests of a higher rank at full speed crowd out the sound client's, which are then rejected with -32001.

--- a/cmd/thymechute/flood_test.go
+++ b/cmd/thymechute/flood_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"thymechute/internal/fake/runtime"
 	"thymechute/internal/testutil"
 )
 
@@ -19,6 +20,7 @@
 	floodBatch    = 64 << 10    // bytes written at a time
 	floodWindow   = 32          // messages without an answer, where a flood respects that limit
 	floodTime     = time.Second // of each flood
+	floodRunTime  = 10 * time.Millisecond
 	floodMemoryMB = 64
 	maxFloodConns = 20000
 )
@@ -152,16 +154,37 @@
 	}
 }
 
+// expectReady waits until the program serves.
+func expectReady(t *testing.T, env *testutil.Environment) {
+	t.Helper()
+	testutil.Eventually(t, "the program serves", func() bool {
+		check := env.Connect()
+		defer check.Conn.Close()
+		check.SendHealthCheck(1)
+		answer, closed := check.Receive()
+		return !closed && answer.Result.Serving
+	})
+}
+
 // Guards against one client that takes the service from all others or grows the memory without end, by small or invalid messages at
 // full speed.
 func TestFloodOfOneClientAffectsNobodyElse(t *testing.T) {
 	for kind := range floodKinds {
 		t.Run(kind, func(t *testing.T) {
-			env := testutil.StartEnvironment(t, func(config map[string]any) {
+			cores, address, err := runtime.Start("127.0.0.1:0", func(string, []byte) (time.Duration, []byte) {
+				return floodRunTime, []byte(result)
+			}, func(string, []byte) {})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(cores.Close)
+			env := testutil.NewEnvironment(t, func(config map[string]any) {
+				config["runtime"] = address
 				config["limits"].(map[string]any)["memory_mb"] = floodMemoryMB
 				setAnswerDeadline(config)
 			})
-			go env.Runtime.ServeAll(1, result)
+			env.Program = testutil.StartProgram(t, env.Config)
+			expectReady(t, env)
 			wait := startFlood(t, env, kind)
 			done := make(chan struct{})
 			var summary string
--- a/policy/period.go
+++ b/policy/period.go
@@ -9,9 +9,13 @@
 // retry share.
 const pastSamplesOfShares = 3
 
+// maxTrackedCallers bounds the callers that are told apart in a period. An instance has fewer connections, so only a
+// caller that uses more than one number reaches it.
+const maxTrackedCallers = 4096
+
 // periodCounters counts the events of the current period.
 type periodCounters struct {
-	callers               map[int]bool // callers of the requests read
+	callers               map[int]bool // callers of the requests read; at most maxTrackedCallers
 	read                  int          // requests read
 	retries               int          // requests read that are marked as retries
 	rejected              int          // requests rejected
@@ -26,6 +30,13 @@
 	*c = periodCounters{callers: c.callers}
 }
 
+// countCaller counts the caller of a request that was read.
+func (c *periodCounters) countCaller(caller int) {
+	if len(c.callers) < maxTrackedCallers {
+		c.callers[caller] = true
+	}
+}
+
 // endPeriod measures lag, and updates the controls that depend on lag or on the counters of the period. The
 // order matters: later updates use the results of earlier ones.
 func (inst *Instance) endPeriod(now time.Duration) {
--- a/policy/request.go
+++ b/policy/request.go
@@ -44,7 +44,7 @@
 	*tracked = request{Request: arrived, state: queued, arrivedAt: now - arrived.ReadDelay}
 	inst.memory.usedKB += arrived.MemoryKB
 	inst.period.read++
-	inst.period.callers[arrived.Caller] = true
+	inst.period.countCaller(arrived.Caller)
 	if arrived.IsRetry {
 		inst.period.retries++
 	}
