Loop: drop input that is read after its peer has left

Cause: the loop learns of a peer's end only after all input before it; a tick that is due in the same poll starts what was read so far. Change: before input of an accepted connection is passed on, the kernel is asked whether the peer has left; if so, the connection closes. Why it works: the end is known to the kernel when it arrives, whatever is unread before it. Not measured: the cost of the call, one per read.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -73,7 +73,8 @@
 	c.loop.hasUnreadConns = true
 }
 
-// OnTraffic implements gnet.EventHandler: it passes input to the handler, or discards it once the connection closes.
+// OnTraffic implements gnet.EventHandler: it passes input to the handler, or discards it once the connection closes. Input that
+// is read after the peer of an accepted connection has left is dropped with the connection: nobody waits for its replies.
 func (l *Loop) OnTraffic(socket gnet.Conn) gnet.Action {
 	c, ok := socket.Context().(*conn)
 	data, _ := socket.Next(-1)
@@ -85,6 +86,9 @@
 	}
 	l.hasReceived = true
 	l.scheduleTick()
+	if c.serverHandler != nil && c.hasPeerLeft() {
+		return gnet.Close
+	}
 	err := errHandlerPanicked
 	WithRecover(l.log, "receive", func() { err = c.handler.Received(data) })
 	if err != nil {
@@ -100,6 +104,15 @@
 	return gnet.None
 }
 
+// hasPeerLeft reports whether the peer has closed or reset the connection, or shut down its sending side, even if there is input
+// before that which has not been read.
+func (c *conn) hasPeerLeft() bool {
+	const left = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+	c.loop.polled[0] = unix.PollFd{Fd: int32(c.socket.Fd()), Events: unix.POLLRDHUP}
+	ready, err := unix.Poll(c.loop.polled[:], 0)
+	return err == nil && ready > 0 && c.loop.polled[0].Revents&left != 0
+}
+
 // discard counts input that is no longer delivered. More than maxDiscardedBytes of it closes the connection, but only once all
 // replies are sent.
 func (c *conn) discard(data []byte) gnet.Action {
--- a/internal/loop/conn_test.go
+++ b/internal/loop/conn_test.go
@@ -240,3 +240,34 @@
 		t.Error("reported false after all connections were read from")
 	}
 }
+
+// Guards against requests that are run although their client had left before they were read: input that is read after the peer has
+// left is not delivered.
+func TestInputOfPeerThatHasLeftIsNotDelivered(t *testing.T) {
+	for leaving, leave := range map[string]func(c *net.TCPConn){
+		"plain close": func(c *net.TCPConn) { c.Close() },
+		"reset": func(c *net.TCPConn) {
+			_ = c.SetLinger(0)
+			c.Close()
+		},
+		"half close": func(c *net.TCPConn) { _ = c.CloseWrite() },
+	} {
+		t.Run(leaving, func(t *testing.T) {
+			host := startHost(t, replyOnDemand)
+			client := host.dial(0)
+			handler := testutil.Next(t, host.opened, "a connection")
+			send(t, client, "a")
+			host.await(func() bool { return len(handler.received) == 1 })
+			release := host.blockLoop()
+			send(t, client, strings.Repeat("b", 1000))
+			leave(client.(*net.TCPConn))
+			release()
+			testutil.Next(t, host.closed, "the end of the connection")
+			host.runOnLoop(func() {
+				if string(handler.received) != "a" {
+					t.Errorf("%d bytes were delivered after the peer had left", len(handler.received)-1)
+				}
+			})
+		})
+	}
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -19,6 +19,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -92,6 +93,7 @@
 	unflushedBytes      int                // written by handlers since the last flush
 	maxUnflushedBytes   int                // above this, output is flushed before further input is received
 
+	polled        [1]unix.PollFd // argument of hasPeerLeft
 	acceptedConns map[*conn]struct{}
 	lingering     map[*conn]struct{} // accepted connections that are closing and have nothing pending
 	maxLingering  int
