Node: an id that was started is not run again where its class is not safe

Cause: ids were known only while in flight; keys protect keyed requests, nothing the others. Change: the ids of started requests are remembered (new package internal/decide/runids, bounded) and looked up before room is asked for; such a request is failed with -32000 and never rejected. A key's result is preferred; safe requests may run again.

--- a/cmd/thymechute/gone_clients_test.go
+++ b/cmd/thymechute/gone_clients_test.go
@@ -109,3 +109,65 @@
 		})
 	}
 }
+
+// Guards against a second run of an id that comes again on another connection after its client has left. A safe request may run
+// again, a keyed one gets the first run's result, and one that must run once is failed.
+func TestIDThatComesAgainAfterItsClientLeft(t *testing.T) {
+	for leaving, leave := range leaveKinds {
+		for _, kind := range classKinds {
+			for _, again := range []string{"", `,"again":1`} {
+				t.Run(fmt.Sprintf("%s, %s%s", leaving, kind.class, again), func(t *testing.T) {
+					env := testutil.StartEnvironment(t, nil)
+					more := strings.ReplaceAll(kind.more, "#", "5c0f")
+					first := env.Connect()
+					first.SendRequest(1, kind.class, "aa01", body, more)
+					env.Runtime.AwaitCommand("start", "aa01")
+					leave(first.Conn)
+					during := env.Connect()
+					during.SendRequest(1, kind.class, "aa01", body, more+again)
+					during.ExpectResponse(1, -32600, "") // its run goes on
+					outcome := "good"
+					if kind.class == "trace" { // the other runs go on
+						env.Runtime.AwaitCommand("stop", "aa01")
+						outcome = "cut"
+					}
+					env.Runtime.SendEnd(1, "aa01", outcome, result)
+					expectNoStartBefore(t, env, 2, "bb01")
+					second := env.Connect()
+					second.SendRequest(1, kind.class, "aa01", body, more+again)
+					switch kind.class {
+					case "trace":
+						env.Runtime.AwaitCommand("start", "aa01")
+						env.Runtime.SendEnd(3, "aa01", "good", result)
+						second.ExpectResponse(1, 0, result)
+					case "excursion":
+						second.ExpectResponse(1, 0, result)
+						expectNoStartBefore(t, env, 3, "bb02")
+					case "seal":
+						second.ExpectResponse(1, -32000, "")
+						expectNoStartBefore(t, env, 3, "bb02")
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against a second run of an id whose first run was completed and answered.
+func TestCompletedIDIsNotRunAgain(t *testing.T) {
+	for _, kind := range []struct{ class, more string }{{"seal", ""}, {"seal", `,"again":1`}, {"excursion", ""}, {"excursion", `,"again":1`}} {
+		t.Run(kind.class+kind.more, func(t *testing.T) {
+			env := testutil.StartEnvironment(t, nil)
+			first := env.Connect()
+			first.SendRequest(1, kind.class, "aa01", body, "") // a keyed class without a key has only its id
+			env.Runtime.AwaitCommand("start", "aa01")
+			env.Runtime.SendEnd(1, "aa01", "good", result)
+			first.ExpectResponse(1, 0, result)
+			for id, stub := range map[int]*testutil.Stub{2: first, 3: env.Connect()} {
+				stub.SendRequest(id, kind.class, "aa01", body, kind.more)
+				stub.ExpectResponse(id, -32000, "")
+			}
+			expectNoStartBefore(t, env, 2, "bb01")
+		})
+	}
+}
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -23,6 +23,10 @@
 		return &AdmissionError{Reason: ErrDuplicateID, Value: string(incoming.ID)}
 	}
 	key := n.keyOf(class, incoming)
+	if n.hasRun(class, key, incoming.ID) {
+		responder.Answer(id, Answer{Status: Failed, Cause: CauseMayHaveRun, AdvertisedLoad: n.advertisedLoad})
+		return nil
+	}
 	if n.controller == nil || n.isFull(class, key) {
 		responder.Answer(id, Answer{Status: Rejected, RetryAfter: n.retryAfter(), AdvertisedLoad: n.advertisedLoad})
 		return nil
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"thymechute/policy"
+	"thymechute/policy/settings"
 )
 
 // respond gives the request's final answer to its caller, unless it was answered already.
@@ -45,6 +46,9 @@
 
 func (n *Instance) sendStart(request *requestState) {
 	request.startSent = true
+	if n.idempotencyOf(request.class) != settings.Safe {
+		n.runIDs.Add(n.digest([]byte(request.taskID)))
+	}
 	n.runtime.Start(request.taskID, n.classes.at(request.class).Name, request.body)
 }
 
--- a/internal/node/idempotency.go
+++ b/internal/node/idempotency.go
@@ -40,6 +40,11 @@
 	return ""
 }
 
+// hasRun reports whether a run was started for the id of a request that must not run twice, and no key entry has its result.
+func (n *Instance) hasRun(class int, key string, id TaskID) bool {
+	return n.idempotencyOf(class) != settings.Safe && n.keys.entries[key] == nil && n.runIDs.Contains(n.digest([]byte(id)))
+}
+
 // findOriginal returns the earlier attempt that the request retries, as a value of policy.Request.Original. isConflict reports
 // that its key belongs to a request with another body, whose result this request must not get.
 func (n *Instance) findOriginal(request *requestState, incoming Request, arrivedAt time.Duration) (
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 // All tables are bounded:
 //   - requests in flight by a quarter of the memory limit; the controller's Release removes an entry;
 //   - idempotency keys and their results by another quarter; the controller's ForgetKey or the expiry removes an entry;
+//   - ids of started requests by a 32nd of the memory limit; the oldest are forgotten;
 //   - classes and tenants by settings.MaxClasses and settings.MaxTenants;
 //   - deep health checks by maxHealthChecks.
 package node
@@ -20,6 +21,7 @@
 
 	"go.uber.org/zap"
 
+	"thymechute/internal/decide/runids"
 	"thymechute/policy"
 	"thymechute/policy/settings"
 )
@@ -77,6 +79,7 @@
 	inFlight int
 	byTaskID map[TaskID]policy.RequestID
 	keys     keyTable
+	runIDs   *runids.Memory // of the requests that must not run twice
 
 	health         healthState
 	advertisedLoad float64 // load value that all answers carry; negative if none
@@ -104,6 +107,7 @@
 		tenants:         newResourceTable(s.Tenants),
 		byTaskID:        map[TaskID]policy.RequestID{},
 		keys:            newKeyTable(),
+		runIDs:          runids.New(int(memoryLimitBytes / runIDMemoryDivisor / (2 * runids.BytesPerID))),
 		advertisedLoad:  noAdvertisedLoad,
 		health:          healthState{checks: map[string]healthCheck{}},
 		gauges:          gaugeState{latest: noGauges},
--- a/internal/node/runs.go
+++ b/internal/node/runs.go
@@ -101,6 +101,9 @@
 // executes requests of an earlier incarnation of this instance.
 func (n *Instance) findRun(taskID TaskID) (policy.RequestID, bool) {
 	id, ok := n.byTaskID[taskID]
+	if !ok && n.runtimeProcess.isReused {
+		n.runIDs.Add(n.digest([]byte(taskID)))
+	}
 	if !ok && n.runtimeProcess.isReused && !n.runtimeProcess.servesEarlierIncarnation {
 		n.runtimeProcess.servesEarlierIncarnation = true
 		n.log.Warn("runtime still executes requests of an earlier incarnation, retries with unknown keys fail for one key window",
