Node: what may have run is never rejected, however full a table is

Cause: Admit asked for room in the tables before it looked up whether the request may have run. Change: decideRetry looks first: such a request is answered from its original, waits for it without room of its own, or fails. Bounds: 64 for one run, a quarter of the table of requests in all.

--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -23,11 +23,13 @@
 		return &AdmissionError{Reason: ErrDuplicateID, Value: string(incoming.ID)}
 	}
 	key := n.keyOf(class, incoming)
-	if n.hasRun(class, key, incoming.ID) {
-		responder.Answer(id, Answer{Status: Failed, Cause: CauseMayHaveRun, AdvertisedLoad: n.advertisedLoad})
+	retry, answer := n.decideRetry(class, key, incoming)
+	if retry == retryAnswered {
+		answer.AdvertisedLoad = n.advertisedLoad
+		responder.Answer(id, answer)
 		return nil
 	}
-	if n.controller == nil || n.isFull(class, key) {
+	if retry == retryNone && !n.isAdmissible(class, key) {
 		responder.Answer(id, Answer{Status: Rejected, RetryAfter: n.retryAfter(), AdvertisedLoad: n.advertisedLoad})
 		return nil
 	}
@@ -49,6 +51,11 @@
 	return nil
 }
 
+// isAdmissible reports whether a request that has not run may be passed to the controller.
+func (n *Instance) isAdmissible(class int, key string) bool {
+	return n.controller != nil && !n.isFull(class, key)
+}
+
 // HasClass reports whether requests of this class are admitted.
 func (n *Instance) HasClass(class string) bool {
 	_, ok := n.classes.findActive(class)
@@ -102,7 +109,7 @@
 		IsRetry:   incoming.IsRetry,
 		Priority:  incoming.Priority,
 		MemoryKB:  incoming.MemoryKB,
-		ReadDelay: min(max(time.Since(incoming.ReceivedAt), 0), maxReadDelay),
+		ReadDelay: readDelay(incoming),
 	}
 	if incoming.CallerTimeout > 0 {
 		// At least 1 ns, as 0 means unknown: the controller rejects a request whose caller has timed out.
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -4,11 +4,13 @@
 
 // Bounds of the tables.
 const (
-	tableMemoryDivisor = 4       // memory limit divided by this bounds the table of requests, and that of keys
-	runIDMemoryDivisor = 32      // memory limit divided by this bounds the ids of started requests
-	requestBytes       = 8 << 10 // bytes counted for a request in flight, with its body and that of its call
-	keyEntryBytes      = 512     // bytes counted for an idempotency key, without its result
-	maxHealthChecks    = 64      // deep health checks in progress at a time
+	tableMemoryDivisor  = 4       // memory limit divided by this bounds the table of requests, and that of keys
+	waiterMemoryDivisor = 4       // requests that wait for a result may exceed the table of requests by its size divided by this
+	maxWaitersPerKey    = 64      // requests that wait for the result of one run
+	runIDMemoryDivisor  = 32      // memory limit divided by this bounds the ids of started requests
+	requestBytes        = 8 << 10 // bytes counted for a request in flight, with its body and that of its call
+	keyEntryBytes       = 512     // bytes counted for an idempotency key, without its result
+	maxHealthChecks     = 64      // deep health checks in progress at a time
 )
 
 // Time limits and intervals.
