RPC: half a message is not an idle connection

Cause: the idle close, the eviction at the limit and the end of the shutdown ignored a part of a message. Change: one rule for all three, bounded by 1.5 s from the message's first part. In a shutdown a message whose last part comes after the grace is rejected.

--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -29,7 +29,7 @@
 		responder.Answer(id, answer)
 		return nil
 	}
-	if retry == retryNone && !n.isAdmissible(class, key) {
+	if retry == retryNone && !n.isAdmissible(class, key, incoming) {
 		responder.Answer(id, Answer{Status: Rejected, RetryAfter: n.retryAfter(), AdvertisedLoad: n.advertisedLoad})
 		return nil
 	}
@@ -52,8 +52,9 @@
 }
 
 // isAdmissible reports whether a request that has not run may be passed to the controller.
-func (n *Instance) isAdmissible(class int, key string) bool {
-	return n.controller != nil && !n.isFull(class, key)
+func (n *Instance) isAdmissible(class int, key string, incoming Request) bool {
+	isAfterGrace := n.drain.started && !incoming.LastPartAt.IsZero() && incoming.LastPartAt.Sub(n.start) > n.drain.graceEnd
+	return n.controller != nil && !isAfterGrace && !n.isFull(class, key)
 }
 
 // HasClass reports whether requests of this class are admitted.
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -20,6 +20,7 @@
 	Key                 string // idempotency key; empty if it has none
 	Subject             string
 	ReceivedAt          time.Time     // when it reached this machine
+	LastPartAt          time.Time     // if it came in parts: a time before the last of them arrived; else zero
 	CallerTimeout       time.Duration // how long the caller waits from ReceivedAt; 0 if unknown
 	Caller              int           // number of the caller
 	IsRetry             bool
--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -12,7 +12,7 @@
 const (
 	maxPendingRequests = 32                      // per connection
 	maxProtocolErrors  = 8                       // per connection; one more closes it
-	requestTimeout     = 1500 * time.Millisecond // for the first request, and for the rest of a partial message
+	requestTimeout     = 1500 * time.Millisecond // until the first message begins, and for the rest of a partial one
 	closingGracePeriod = 250 * time.Millisecond  // between a closing notification and the close, for requests in transit
 )
 
@@ -26,6 +26,7 @@
 	pending        map[string]struct{} // IDs of requests without a response; at most maxPendingRequests
 	lastActive     time.Time           // when it was opened, or a request was last received or answered
 	partialSince   time.Time           // when an incomplete message began to arrive; zero: none
+	partialReadAt  time.Time           // when the latest part of that message was read
 	notifiedAt     time.Time           // when the closing notification was sent; zero: not sent
 	hasRequested   bool                // a complete request was received
 	closing        bool
@@ -66,16 +67,22 @@
 
 func (c *conn) isUnnotified() bool { return c.notifiedAt.IsZero() }
 
-// isIdle reports whether nothing has been pending for longer than the timeout.
+// isReceiving reports whether a part of a message has arrived and its rest may still come within requestTimeout.
+func (c *conn) isReceiving(now time.Time) bool {
+	return !c.closing && !c.partialSince.IsZero() && now.Sub(c.partialSince) <= requestTimeout
+}
+
+// isIdle reports whether nothing has been pending for longer than the timeout, and no message is being received.
 func (c *conn) isIdle(now time.Time, timeout time.Duration) bool {
-	return !c.HasPending() && now.Sub(c.lastActive) > timeout
+	return !c.HasPending() && !c.isReceiving(now) && now.Sub(c.lastActive) > timeout
 }
 
 // isStalled reports whether the first request, or the rest of a partial message, took longer than requestTimeout.
 func (c *conn) isStalled(now time.Time) bool {
-	isRestOfMessageOverdue := !c.partialSince.IsZero() && now.Sub(c.partialSince) > requestTimeout
-	isFirstRequestOverdue := !c.hasRequested && now.Sub(c.lastActive) > requestTimeout
-	return isRestOfMessageOverdue || isFirstRequestOverdue
+	if !c.partialSince.IsZero() {
+		return !c.isReceiving(now)
+	}
+	return !c.hasRequested && now.Sub(c.lastActive) > requestTimeout
 }
 
 // close stops receiving input; pending requests are still answered.
@@ -106,25 +113,38 @@
 // not be decoded, or after too many errors, the connection closes as well.
 func (c *conn) Received(p []byte) error {
 	hasMessage := false
+	lastPartAt := c.partialReadAt // of the first message only
 	err := c.lines.Feed(p, func(line []byte) error {
+		partAt := lastPartAt
 		hasMessage = true
-		return c.handleLine(line)
+		lastPartAt = time.Time{}
+		return c.handleLine(line, partAt)
 	})
 	if err != nil {
 		c.close()
 		return err
 	}
+	c.updatePartial(hasMessage)
+	return nil
+}
+
+// updatePartial records whether an incomplete message is left, which is a new one if a message was completed.
+func (c *conn) updatePartial(hasMessage bool) {
 	if !c.lines.HasPartial() {
 		c.partialSince = time.Time{}
-	} else if hasMessage || c.partialSince.IsZero() {
-		c.partialSince = time.Now()
+		c.partialReadAt = time.Time{}
+		return
+	}
+	c.partialReadAt = time.Now()
+	if hasMessage || c.partialSince.IsZero() {
+		c.partialSince = c.partialReadAt
 	}
-	return nil
 }
 
-// handleLine returns an error if the connection must close.
-func (c *conn) handleLine(line []byte) error {
+// handleLine returns an error if the connection must close. lastPartAt is the LastPartAt of a request in the line.
+func (c *conn) handleLine(line []byte, lastPartAt time.Time) error {
 	message, err := Decode(line)
+	message.Request.LastPartAt = lastPartAt
 	if err == nil {
 		err = c.handle(message)
 	}
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -68,14 +68,15 @@
 // is notified once it is open, and its requests are served too. When all spare connections are in use as well, the least
 // needed connection is closed at once; if all have pending requests, the new one is rejected.
 func (s *Server) Accept() loop.ServerHandler {
+	now := time.Now()
 	if s.atCapacity() {
 		s.overLimitSinceLog++
-		if c := s.evictionCandidate((*conn).isUnnotified); c != nil {
-			c.notifyClosing(time.Now())
+		if c := s.evictionCandidate(now, (*conn).isUnnotified); c != nil {
+			c.notifyClosing(now)
 		}
 	}
 	if len(s.conns) >= s.config.MaxConns+s.config.SpareConns {
-		c := s.evictionCandidate(func(*conn) bool { return true })
+		c := s.evictionCandidate(now, func(*conn) bool { return true })
 		if c == nil {
 			return nil
 		}
@@ -88,21 +89,26 @@
 	}
 }
 
-// evictionCandidate returns the least needed of the eligible connections without pending requests, or nil. Connections that
+// evictionCandidate returns the least needed of the eligible connections without pending requests, or nil. Connections on which a
+// message is being received are needed most; they are no candidates if they have sent a request before. Of the others, those that
 // never sent a request are needed least, then those that were idle for longest.
-func (s *Server) evictionCandidate(isEligible func(*conn) bool) (leastNeeded *conn) {
+func (s *Server) evictionCandidate(now time.Time, isEligible func(*conn) bool) (leastNeeded *conn) {
 	for c := range s.conns {
-		if c.HasPending() || c.closing || !isEligible(c) {
+		isNeeded := c.HasPending() || c.hasRequested && c.isReceiving(now)
+		if isNeeded || c.closing || !isEligible(c) {
 			continue
 		}
-		if leastNeeded == nil || c.isLessNeededThan(leastNeeded) {
+		if leastNeeded == nil || c.isLessNeededThan(leastNeeded, now) {
 			leastNeeded = c
 		}
 	}
 	return leastNeeded
 }
 
-func (c *conn) isLessNeededThan(other *conn) bool {
+func (c *conn) isLessNeededThan(other *conn, now time.Time) bool {
+	if isReceiving := c.isReceiving(now); isReceiving != other.isReceiving(now) {
+		return !isReceiving
+	}
 	if c.hasRequested != other.hasRequested {
 		return !c.hasRequested
 	}
@@ -125,8 +131,16 @@
 	}
 }
 
-// HasPending reports false, as responses are sent by the tick in which they are written.
-func (s *Server) HasPending() bool { return false }
+// HasPending reports whether a message is being received. Responses are sent by the tick in which they are written.
+func (s *Server) HasPending() bool {
+	now := time.Now()
+	for c := range s.conns {
+		if c.isReceiving(now) {
+			return true
+		}
+	}
+	return false
+}
 
 // Sweep sends idle and stalled connections a closing notification, and closes them closingGracePeriod later, when no request
 // can be in transit any more. While draining it closes only stalled ones, as clients close the others themselves.
