RPC: a removed tenant or class is no offence of the connection

Cause: unknown tenants and classes counted as protocol errors; at the ninth the connection was no longer read, without a notification before. Change: they are answered and not counted.

--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -4,6 +4,8 @@
 	"errors"
 	"time"
 
+	"go.uber.org/zap"
+
 	"thymechute/internal/jsonline"
 	"thymechute/internal/loop"
 	"thymechute/internal/node"
@@ -31,6 +33,7 @@
 	hasRequested   bool                // a complete request was received
 	closing        bool
 	protocolErrors int
+	isFaulty       bool // it sent more than maxProtocolErrors, so that it closes even if it does not become idle
 }
 
 // Opened implements loop.Handler.
@@ -110,7 +113,7 @@
 }
 
 // Received implements loop.Handler. A protocol error is answered with an error response to the message's ID. If the ID could
-// not be decoded, or after too many errors, the connection closes as well.
+// not be decoded, the connection closes as well; after too many errors it is sent a closing notification before.
 func (c *conn) Received(p []byte) error {
 	hasMessage := false
 	lastPartAt := c.partialReadAt // of the first message only
@@ -156,13 +159,32 @@
 		return err
 	}
 	c.transport.Write(AppendError(nil, message.ID, protocolErr))
-	c.protocolErrors++
-	if message.ID == "" || c.protocolErrors > maxProtocolErrors {
+	if message.ID == "" {
 		return err
 	}
+	if !namesUnknownResource(err) {
+		c.countProtocolError()
+	}
 	return nil
 }
 
+// namesUnknownResource reports whether a request was rejected because its class or tenant is not configured. That is no fault of a
+// client whose class or tenant was removed by a reload.
+func namesUnknownResource(err error) bool {
+	return errors.Is(err, node.ErrUnknownClass) || errors.Is(err, node.ErrUnknownTenant)
+}
+
+// countProtocolError counts an answered protocol error. One over maxProtocolErrors closes the connection, in two steps like every
+// other close: requests that are received up to the second are answered.
+func (c *conn) countProtocolError() {
+	c.protocolErrors++
+	if c.protocolErrors > maxProtocolErrors && !c.isFaulty {
+		c.isFaulty = true
+		c.server.config.Log.Warn("connection closing", zap.Error(errTooManyProtocolErrors))
+		c.notifyClosing(time.Now())
+	}
+}
+
 func (c *conn) handle(message Message) error {
 	if message.IsNotification {
 		return c.checkNotification(message.Method)
--- a/internal/rpc/errors.go
+++ b/internal/rpc/errors.go
@@ -37,6 +37,9 @@
 // logged and not sent.
 var errIDInUse = errors.New("message ID of a new request is in use by a pending one")
 
+// errTooManyProtocolErrors closes the connection in two steps. It is logged and not sent.
+var errTooManyProtocolErrors = fmt.Errorf("over %d protocol errors", maxProtocolErrors)
+
 // ProtocolError reports why a message is invalid. Its code and text are sent to the client.
 type ProtocolError struct {
 	Code int // of JSON-RPC 2.0
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -143,7 +143,7 @@
 }
 
 // Sweep sends idle and stalled connections a closing notification, and closes them closingGracePeriod later, when no request
-// can be in transit any more. While draining it closes only stalled ones, as clients close the others themselves.
+// can be in transit any more. While draining it closes only stalled and faulty ones, as clients close the others themselves.
 func (s *Server) Sweep(now time.Time) {
 	if now.Before(s.nextSweep) {
 		return
@@ -175,7 +175,7 @@
 		return
 	}
 	mayCloseIdle := !s.draining
-	if isStalled || mayCloseIdle && c.isIdle(now, closingGracePeriod) {
+	if isStalled || c.isFaulty || mayCloseIdle && c.isIdle(now, closingGracePeriod) {
 		c.close()
 	}
 }
