Runtime link: read the notices of a restarted runtime from the first

Cause: the link drops notices up to the last index that it has read; a new process of the runtime numbers them from 1. Change: the link detects a restart by the runtime's age, as the instance does, and starts over. Measured: TestRestartedRuntimeServesAgain fails on the code before where the notices begin at 1, and passes after, as where they go on.

--- a/cmd/thymechute/peers_test.go
+++ b/cmd/thymechute/peers_test.go
@@ -55,6 +55,38 @@
 	stub.ExpectResponse(1, -32000, "") // failed, as it may have run
 }
 
+// Guards against an instance that serves nobody after its runtime was restarted alone: the notices of the new process, numbered from
+// 1 again or going on, were dropped as duplicates.
+func TestRestartedRuntimeServesAgain(t *testing.T) {
+	const firstNotices = 5
+	for _, next := range []int{1, firstNotices + 1} {
+		t.Run(fmt.Sprintf("notices from %d", next), func(t *testing.T) {
+			env := testutil.NewEnvironment(t, nil)
+			env.Program = testutil.StartProgram(t, env.Config)
+			env.Runtime.AcceptSync(0, "new", 5000)
+			stub := env.Connect()
+			serve := func(id, notice int) {
+				t.Helper()
+				rid := fmt.Sprintf("aa%d", id)
+				stub.SendRequest(id, "seal", rid, body, "")
+				env.Runtime.AwaitCommand("start", rid)
+				env.Runtime.SendEnd(notice, rid, "good", result)
+				stub.ExpectResponse(id, 0, result)
+			}
+			for notice := 1; notice <= firstNotices; notice++ {
+				serve(notice, notice)
+			}
+			env.Runtime.Disconnect()
+			env.Runtime.AcceptSync(firstNotices, "new", 0) // another process
+			for n := range firstNotices {
+				serve(firstNotices+1+n, next+n)
+			}
+			env.Runtime.Disconnect()
+			env.Runtime.AcceptSync(next+firstNotices-1, "old", 1000) // the same process again
+		})
+	}
+}
+
 func TestRuntimeStartsLate(t *testing.T) {
 	env := testutil.NewEnvironment(t, nil)
 	env.Program = testutil.StartProgram(t, env.Config)
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -99,6 +99,13 @@
 	RequestedAt time.Time     // when the state was requested
 }
 
+// StartedAfter reports whether the state is of a process that started later than the known one, so that the runtime has restarted
+// and runs of the earlier process are lost.
+func (s RuntimeState) StartedAfter(known time.Time) bool {
+	earliestStart := s.RequestedAt.Add(-s.Age)
+	return earliestStart.After(known.Add(runtimeAgeTolerance))
+}
+
 // RunResult is the end of a run.
 type RunResult struct {
 	Outcome  policy.Outcome
--- a/internal/node/runs.go
+++ b/internal/node/runs.go
@@ -19,12 +19,11 @@
 // RuntimeReady is called with the runtime's state when a link to it is established. The first call creates the controller. A
 // later call that shows a restart of the runtime ends all runs, as they are lost.
 func (n *Instance) RuntimeReady(state RuntimeState) {
-	earliestStart := state.RequestedAt.Add(-state.Age)
 	latestStart := time.Now().Add(-state.Age)
 	n.enqueue(func() {
 		switch {
 		case n.controller != nil:
-			n.checkRestart(earliestStart, latestStart)
+			n.checkRestart(state, latestStart)
 		case !n.drain.started: // a draining instance without a controller rejects all requests until it stops
 			n.startController(state, latestStart)
 		}
@@ -43,8 +42,8 @@
 }
 
 // checkRestart ends all runs if the runtime has restarted, that is, its start is later than the known one.
-func (n *Instance) checkRestart(earliestStart, latestStart time.Time) {
-	if !earliestStart.After(n.runtimeProcess.startedAt.Add(runtimeAgeTolerance)) {
+func (n *Instance) checkRestart(state RuntimeState, latestStart time.Time) {
+	if !state.StartedAfter(n.runtimeProcess.startedAt) {
 		return
 	}
 	n.log.Warn("runtime restarted, runs in progress are lost")
--- a/internal/runtimelink/link.go
+++ b/internal/runtimelink/link.go
@@ -57,7 +57,9 @@
 	latest    *session  // handler of the newest connection, open or being dialled
 	conn      loop.Conn // carries the commands; nil while the link is down
 	lines     jsonline.LineSplitter
-	lastIndex uint64 // of the last numbered notice that was read
+	lastIndex uint64 // of the last numbered notice that was read from this process of the runtime; 0 if there is none
+
+	processStart time.Time // latest possible start of the runtime's process; zero before the first connection is established
 
 	resynced        bool   // the notices missed before this connection have been read
 	syncNonce       string // nonce of the gauge request whose answer follows the missed notices
@@ -201,10 +203,25 @@
 func (l *Link) handleReady(n notice) {
 	l.backoff = minBackoff
 	l.log.Info("runtime link established", zap.String("state", n.Outcome), zap.Duration("age", n.Spent))
-	l.sink.RuntimeReady(node.RuntimeState{Reused: n.Outcome == stateOld, Age: n.Spent, RequestedAt: l.openedAt})
+	state := node.RuntimeState{Reused: n.Outcome == stateOld, Age: n.Spent, RequestedAt: l.openedAt}
+	l.checkProcess(state)
+	l.sink.RuntimeReady(state)
 	l.send(command{verb: verbGauges, nonce: l.syncNonce}) // the answer follows the missed notices
 }
 
+// checkProcess detects that the runtime has restarted. Its new process may go on after the index in sync, or number its notices anew;
+// in both cases all that it sends is new.
+func (l *Link) checkProcess(state node.RuntimeState) {
+	isRestarted := !l.processStart.IsZero() && state.StartedAfter(l.processStart)
+	if isRestarted && l.lastIndex > 0 {
+		l.log.Warn("runtime restarted, its notices are read from the first", zap.Uint64("last_index", l.lastIndex))
+		l.lastIndex = 0
+	}
+	if isRestarted || l.processStart.IsZero() {
+		l.processStart = time.Now().Add(-state.Age)
+	}
+}
+
 func (l *Link) handleEnd(n notice) {
 	outcome, ok := runOutcomes[n.Outcome]
 	if !ok {
