Node: health checks fail while the runtime does not respond

Callers saw: "serving":true for ever while the link to the runtime was down, or up and silent, and no request could be served. Cause: the verdict came from the module alone, which does not know the link. Change: a check fails, and the catalog is sent critical, once the runtime has not answered for its gauges for 5 s; stalls of this process don't count.

--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -28,6 +28,7 @@
 func (n *Instance) GaugesRead(values []float64) {
 	n.gauges.latest = n.parseGauges(values)
 	n.gauges.readAt = time.Since(n.start)
+	n.runtimeProcess.respondedAt = n.gauges.readAt
 }
 
 // parseGauges selects the gauges that the controller uses from those of the runtime.
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // healthCheck is a deep health check that waits for the runtime's self-test.
@@ -15,6 +17,7 @@
 // healthState holds the controller's verdict on the instance's health and the deep checks in progress.
 type healthState struct {
 	isHealthy bool
+	isSilent  bool                   // the runtime has not responded for runtimeSilenceTimeout, so that nothing can be served
 	isCached  bool                   // deep checks are answered without a self-test
 	checks    map[string]healthCheck // by the id of their self-test; at most maxHealthChecks
 	selfTests int                    // self-tests requested so far; numbers their ids
@@ -24,7 +27,7 @@
 // selfTestTimeout. A deep check for which no self-test is possible is answered like a shallow one.
 func (n *Instance) CheckHealth(responder Responder, id MessageID, depth HealthCheckDepth) {
 	if depth == ShallowCheck || !n.canSelfTest() {
-		responder.AnswerHealthCheck(id, n.healthResult(HealthOf(n.controller != nil && n.health.isHealthy)))
+		responder.AnswerHealthCheck(id, n.healthResult(n.healthStatus()))
 		return
 	}
 	n.health.selfTests++
@@ -33,6 +36,26 @@
 	n.runtime.SelfTest(testID)
 }
 
+// healthStatus returns the verdict of a shallow check.
+func (n *Instance) healthStatus() HealthStatus {
+	return HealthOf(n.controller != nil && n.health.isHealthy && !n.health.isSilent)
+}
+
+// updateSilence marks the instance as unhealthy while its runtime does not respond, and logs each change.
+func (n *Instance) updateSilence() {
+	silence := n.now - n.runtimeProcess.respondedAt
+	isSilent := silence > runtimeSilenceTimeout
+	if isSilent == n.health.isSilent {
+		return
+	}
+	n.health.isSilent = isSilent
+	if isSilent {
+		n.log.Warn("runtime does not respond, health checks fail", zap.Bool("link_up", n.runtime.Up()), zap.Duration("silent_for", silence))
+		return
+	}
+	n.log.Info("runtime responds again")
+}
+
 // canSelfTest reports whether a deep check requests a self-test: the controller does not ask for cached verdicts, the runtime
 // is connected, and fewer than maxHealthChecks deep checks are in progress.
 func (n *Instance) canSelfTest() bool {
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -18,6 +18,7 @@
 	tableFullRetryAfter           = 500 * time.Millisecond // Retry-After while a table is full
 	maxReadDelay                  = time.Hour              // longer read delays are reported to the controller as this
 	selfTestTimeout               = 5 * time.Second        // a self-test that takes longer has failed
+	runtimeSilenceTimeout         = selfTestTimeout        // without a response for this long, the runtime counts as unable to serve
 	maxGaugeAge                   = 200 * time.Millisecond // older gauges are not passed to the controller
 	runtimeAgeTolerance           = 100 * time.Millisecond // the runtime rounds its age to milliseconds
 	defaultControllerTickInterval = 20 * time.Millisecond  // between controller ticks if the controller requests no time
--- a/internal/node/runs.go
+++ b/internal/node/runs.go
@@ -12,6 +12,7 @@
 type runtimeProcess struct {
 	startedAt                time.Time     // latest possible time of its start
 	firstReadyAt             time.Duration // when the first link to it was established
+	respondedAt              time.Duration // when it last sent its gauges, or when the first link was established
 	isReused                 bool          // it had executed requests before the first link
 	servesEarlierIncarnation bool          // it has sent a notice about a run of an earlier incarnation of this instance
 }
@@ -37,6 +38,7 @@
 	n.runtimeProcess.isReused = state.Reused
 	n.now = time.Since(n.start)
 	n.runtimeProcess.firstReadyAt = n.now
+	n.runtimeProcess.respondedAt = n.now
 	n.lastEventAt = n.now
 	n.controller = n.newController()
 }
--- a/internal/node/tick.go
+++ b/internal/node/tick.go
@@ -27,7 +27,7 @@
 	if n.now >= n.nextSweep {
 		n.sweep()
 	}
-	n.healthReporter.ReportIfDue(clock, HealthOf(n.health.isHealthy && !n.drain.started))
+	n.healthReporter.ReportIfDue(clock, HealthOf(n.healthStatus() == Healthy && !n.drain.started))
 	n.sweepFronts(clock)
 	return earliest(nextTimeout, n.start.Add(nextTick)), n.advancePhase()
 }
@@ -107,9 +107,13 @@
 	return n.nextControllerTick
 }
 
-// sweep drops expired keys and fails health checks past their timeout.
+// sweep drops expired keys, checks whether the runtime responds, and fails health checks past their timeout.
 func (n *Instance) sweep() {
+	if late := n.now - n.nextSweep; late > sweepInterval {
+		n.runtimeProcess.respondedAt += late // this process or the machine has stalled, which is no silence of the runtime
+	}
 	n.nextSweep = n.now + sweepInterval
 	n.sweepKeys()
+	n.updateSilence()
 	n.failHealthChecks(func(check healthCheck) bool { return n.now > check.expiresAt })
 }
