Slots: wait for five voters in the log's configuration, not for four reports

Cause: TestCallsPastTheLeaseAreDetected counted the leader's reports of added voters. A leader that loses its leadership before it learns that a change was committed gets an error and reports NoChange (voterManager.changeConfiguration), so the voter is added and nobody reports it. Change: each member reports the number of voters in the configuration that it knows; the script waits until all five know five, which is stricter. The original order, a leader lost in that moment, was not forced.

--- a/internal/fleet/slots/member_test.go
+++ b/internal/fleet/slots/member_test.go
@@ -40,7 +40,7 @@
 	eventTableActive   = "table active"
 	eventNotified      = "notified"
 	eventCallCount     = "call count"
-	eventVoterAdded    = "voter added"
+	eventVoters        = "voters"
 )
 
 var terms = ring.LeaseTerms{Duration: time.Second, MaxDrift: 0.01, CancelDelay: 20 * time.Millisecond}
@@ -48,7 +48,7 @@
 // memberEvent is an event that a member's process emits.
 type memberEvent struct {
 	Kind    string
-	Version uint64 // of the table, for eventTableActive; the number of calls, for eventCallCount
+	Version uint64 // of the table, for eventTableActive; the number of calls or voters, for eventCallCount or eventVoters
 	Text    string
 	member  string
 }
@@ -94,11 +94,7 @@
 	state, err := NewSnapshotState(config)
 	m.ExitOn(err)
 	m.Join(member.Config{Record: membership.Record{Zone: "z"}, Duties: []string{Duty}, StateMachine: state, Watcher: m,
-		OnVoterChange: func(c quorum.Change) {
-			if c.Kind == quorum.PromoteVoter {
-				m.Emit(memberEvent{Kind: eventVoterAdded})
-			}
-		}})
+		OnVoterChange: func(quorum.Change) {}})
 	if os.Getenv(warmUpVariable) != "" {
 		m.startWarmUpCallers()
 	} else {
@@ -145,9 +141,11 @@
 
 var _ consensus.Watcher = (*testMember)(nil)
 
-// poll reads the target backends, publishes the applied index, and emits events for the active table and the number of calls.
+// poll reads the target backends, publishes the applied index, and emits events for the active table, the number of voters in the
+// log's configuration as known here, and the number of calls.
 func (m *testMember) poll() {
 	version := uint64(0)
+	voters := 0
 	for n := 0; ; n++ {
 		time.Sleep(pollInterval)
 		var backends []ring.Backend
@@ -160,6 +158,10 @@
 		}
 		if n%pollsPerPublication == 0 {
 			m.PublishApplied()
+			if count := len(m.Driver().Log.Voters()); count != voters {
+				voters = count
+				m.Emit(memberEvent{Kind: eventVoters, Version: uint64(count)})
+			}
 		}
 		if n%pollsPerCount == pollsPerCount-1 {
 			m.Emit(memberEvent{Kind: eventCallCount, Version: uint64(m.calls.Load()), Text: fmt.Sprint(m.rejections.Load(), " rejected")})
--- a/internal/fleet/slots/migration_test.go
+++ b/internal/fleet/slots/migration_test.go
@@ -85,13 +85,11 @@
 			s.WaitFor("first leader", 0, isLeaseAcquired)
 		}
 	}
-	added := 0
-	s.WaitFor("five voters", 0, func(e memberEvent) bool {
-		if e.Kind == eventVoterAdded {
-			added++
-		}
-		return added == 4
-	})
+	for _, name := range s.Names() {
+		s.WaitFor("five voters at "+name, 0, func(e memberEvent) bool {
+			return e.Kind == eventVoters && e.Version == 5 && e.member == name
+		})
+	}
 	s.awaitTable("at first", 1, "")
 	return s
 }
