--- a/policy/period.go
+++ b/policy/period.go
@@ -9,8 +9,8 @@
 // retry share.
 const pastSamplesOfShares = 3
 
-// maxTrackedCallers bounds the callers that are told apart in a period. An instance has fewer connections, so only a
-// caller that uses more than one number reaches it.
+// maxTrackedCallers bounds the callers that are told apart in a period. An instance has fewer connections, so
+// only a caller that uses more than one number reaches it.
 const maxTrackedCallers = 4096
 
 // periodCounters counts the events of the current period.
