AMQP: remember 512 endings beyond the unsettled messages, not 2,048

Change: the exact need is maxUnsettled, as a broker that keeps to the credit has no more acks outstanding; 512 more for one that drops some.

--- a/internal/front/amqp/endings.go
+++ b/internal/front/amqp/endings.go
@@ -15,7 +15,7 @@
 const (
 	// Bounds of the remembered endings. The number is in addition to maxUnsettled, which is how many settlements can be lost with
 	// a connection whose broker keeps to the credit.
-	extraEndings   = 2048
+	extraEndings   = 512
 	maxEndingBytes = 1 << 20
 )
 
