RPC: answer what comes on a faulty connection with an error until it closes

Cause: between the notification and the close, requests of the faulty connection were admitted like any other. Change: they are answered with -32600, "over 8 protocol errors"; pending ones are served. The unit test of the two steps asks for that now.

--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -175,7 +175,7 @@
 }
 
 // countProtocolError counts an answered protocol error. One over maxProtocolErrors closes the connection, in two steps like every
-// other close: requests that are received up to the second are answered.
+// other close. What is received between them is answered with an error: a flood of invalid messages must not be served meanwhile.
 func (c *conn) countProtocolError() {
 	c.protocolErrors++
 	if c.protocolErrors > maxProtocolErrors && !c.isFaulty {
@@ -189,6 +189,9 @@
 	if message.IsNotification {
 		return c.checkNotification(message.Method)
 	}
+	if c.isFaulty {
+		return &ProtocolError{codeInvalidRequest, errTooManyProtocolErrors}
+	}
 	if _, inUse := c.pending[message.ID]; inUse {
 		return errIDInUse
 	}
--- a/internal/rpc/errors.go
+++ b/internal/rpc/errors.go
@@ -37,7 +37,7 @@
 // logged and not sent.
 var errIDInUse = errors.New("message ID of a new request is in use by a pending one")
 
-// errTooManyProtocolErrors closes the connection in two steps. It is logged and not sent.
+// errTooManyProtocolErrors closes the connection in two steps, and answers what is received between them.
 var errTooManyProtocolErrors = fmt.Errorf("over %d protocol errors", maxProtocolErrors)
 
 // ProtocolError reports why a message is invalid. Its code and text are sent to the client.
--- a/internal/rpc/protocol_errors_test.go
+++ b/internal/rpc/protocol_errors_test.go
@@ -41,11 +41,13 @@
 	}
 }
 
-// A connection with too many protocol errors is closed in two steps: what is received before the second is admitted.
+// A connection with too many protocol errors is closed in two steps: its pending requests are served, and what is received before
+// the second step is answered with an error.
 func TestFaultyConnectionIsNotifiedBeforeItCloses(t *testing.T) {
 	admission := &fakeAdmission{}
 	server := newTestServer(admission, 2)
 	c, transport := openConn(t, server, false)
+	receive(t, c, requestWithID(8))
 	for range maxProtocolErrors + 1 {
 		receive(t, c, `{"jsonrpc":"2.0","id":1}`+"\n")
 	}
@@ -53,8 +55,8 @@
 		t.Errorf("closed %v without a notification before: %q", transport.Closed, transport.Out)
 	}
 	receive(t, c, requestWithID(9))
-	if admission.admitted != 2 {
-		t.Error("a request that crossed the notification was not admitted")
+	if !strings.HasSuffix(transport.Out, `"id":9,"error":{"code":-32600,"message":"over 8 protocol errors"}}`+"\n") || admission.admitted != 2 {
+		t.Errorf("after the notification sent %q, %d admitted; want an error response and 2", transport.Out, admission.admitted)
 	}
 	server.Sweep(time.Now().Add(closingGracePeriod + sweepInterval))
 	if !transport.Closed || !c.HasPending() {
