--- a/cmd/thymechute/slow_clients_test.go
+++ b/cmd/thymechute/slow_clients_test.go
@@ -22,7 +22,7 @@
 // slowForm is a way in which the slow clients write.
 type slowForm struct {
 	write       func(c net.Conn)
-	atFullSpeed bool // they take all cores of the machine, so that only the memory is checked
+	atFullSpeed bool // the clients write without a rest
 }
 
 // slowForms are the ways in which the slow clients write; write returns when its connection has ended.
@@ -99,22 +99,29 @@
 	clients.Wait()
 }
 
+// startWithSlowClients starts the program with a small memory limit and the slow clients. done is closed when they have ended.
+func startWithSlowClients(t *testing.T, form slowForm) (env *testutil.Environment, done chan struct{}) {
+	t.Helper()
+	env = testutil.StartEnvironment(t, func(config map[string]any) {
+		config["limits"].(map[string]any)["memory_mb"] = slowMemoryMB
+		config["limits"].(map[string]any)["sockets"] = 1024
+		setAnswerDeadline(config)
+	})
+	go env.Runtime.ServeAll(1, result)
+	done = make(chan struct{})
+	go func() {
+		connectSlowly(env.ListenAddress, form, time.Now().Add(slowClientsTime))
+		close(done)
+	}()
+	return env, done
+}
+
 // Guards against a process that is killed for its memory because hundreds of clients write slowly, stop half way or send very many
 // short fields.
 func TestHundredsOfSlowClientsStayWithinMemory(t *testing.T) {
 	for name, form := range slowForms {
 		t.Run(name, func(t *testing.T) {
-			env := testutil.StartEnvironment(t, func(config map[string]any) {
-				config["limits"].(map[string]any)["memory_mb"] = slowMemoryMB
-				config["limits"].(map[string]any)["sockets"] = 1024
-				setAnswerDeadline(config)
-			})
-			go env.Runtime.ServeAll(1, result)
-			done := make(chan struct{})
-			go func() {
-				connectSlowly(env.ListenAddress, form, time.Now().Add(slowClientsTime))
-				close(done)
-			}()
+			env, done := startWithSlowClients(t, form)
 			sound := newSoundClient(t, env)
 			if !form.atFullSpeed {
 				sound.sendUntil(done)
@@ -128,3 +135,18 @@
 		})
 	}
 }
+
+// Hundreds of clients at full speed must not keep the requests of another client from being answered by their deadline.
+func TestSoundClientBesideHundredsAtFullSpeed(t *testing.T) {
+	for name, form := range slowForms {
+		if !form.atFullSpeed {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			env, done := startWithSlowClients(t, form)
+			sound := newSoundClient(t, env)
+			sound.sendUntil(done)
+			t.Logf("sound client: %v at most, answers by code %v", sound.longest.Round(time.Millisecond), sound.counts)
+		})
+	}
+}
