--- a/cmd/thymechute/flood_test.go
+++ b/internal/clients/flood_test.go
@@ -1,4 +1,4 @@
-package main
+package clients
 
 import (
 	"bytes"
--- a/cmd/thymechute/main_test.go
+++ b/internal/clients/main_test.go
@@ -1,4 +1,6 @@
-package main
+// Package clients contains tests of what clients may do to the program and to each other: floods, slow writers, clients that leave, and
+// reloads under load. Each test runs the program as a process. They are apart from those of cmd/thymechute because they take long.
+package clients
 
 import (
 	"fmt"
@@ -7,6 +9,12 @@
 	"time"
 )
 
+// Body of the requests, and result of their runs.
+const (
+	body   = "the body\x00"
+	result = "the result\x01"
+)
+
 // Environment variables of a flooding client, which is a process of the test's own binary.
 const (
 	floodKindVariable    = "FLOOD_KIND" // a kind of floodKinds; set only in the processes of flooding clients
