--- a/internal/loop/host_test.go
+++ b/internal/loop/host_test.go
@@ -42,7 +42,7 @@
 }
 
 func (e *echoHandler) Received(p []byte) error {
-	e.host.maxUnflushed = max(e.host.maxUnflushed, e.host.unflushed())
+	e.host.maxUnflushed = max(e.host.maxUnflushed, unflushed(e.conn.(*conn).loop))
 	e.received = append(e.received, p...)
 	for _, b := range p {
 		if b == '!' {
@@ -96,8 +96,8 @@
 }
 
 // unflushed returns how many bytes of output of the accepted connections are not flushed.
-func (h *testHost) unflushed() (bytes int) {
-	for c := range h.loop.acceptedConns {
+func unflushed(l *Loop) (bytes int) {
+	for c := range l.acceptedConns {
 		bytes += len(c.output)
 	}
 	return bytes
